Lay down the design, the core interface and the build

Cause: an empty repository needs its interfaces fixed before several people can work on its parts. Ruled out: interfaces that grow with their implementations; parts written in parallel would not meet. Before: nothing. Conclusion: subsystems are implemented against core/entry, core/gather and core/membership headers.

--- /dev/null
+++ b/core/instance/instance.cc
@@ -0,0 +1,193 @@
+#include "core/instance/instance.h"
+
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include "core/entry/entry.h"
+#include "core/gather/gather.h"
+#include "core/instance/context.h"
+#include "core/membership/membership.h"
+
+namespace limpetrouter::core::instance {
+namespace {
+
+context MakeContext(instance& instance, base::time_point now, io::command_list& out) {
+  return context{now,
+                 instance.membership.store.in_force,
+                 instance.membership.members,
+                 instance.placement,
+                 instance.membership.facts,
+                 instance.random,
+                 out,
+                 instance.leaving};
+}
+
+/// Computes placement anew after a change of configuration or members.
+void RefreshPlacement(instance& instance) {
+  const config::configuration_ptr& config = instance.membership.store.in_force;
+  if (config == nullptr) return;
+  const std::uint64_t version = instance.membership.members.version;
+  if (instance.placement.revision == config->revision && instance.placement.members_version == version &&
+      !instance.placement.by_backend_server.empty()) {
+    return;
+  }
+  instance.placement = membership::ComputePlacement(
+      *config, membership::PlacementCandidates(instance.membership.members, instance.leaving));
+  instance.placement.members_version = version;
+}
+
+void HandlePeerMessage(instance& instance, context& ctx, const peer::message& message) {
+  membership::membership_tables& membership = instance.membership;
+  const peer::message_header& header = message.header;
+  std::visit(
+      [&](const auto& body) {
+        using body_type = std::decay_t<decltype(body)>;
+        if constexpr (std::is_same_v<body_type, peer::gather_request>) {
+          gather::HandleGatherRequest(instance.gather, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::gather_cancel>) {
+          gather::HandleGatherCancel(instance.gather, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::gather_answer>) {
+          entry::HandleGatherAnswer(instance.entry, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::forward_request>) {
+          entry::HandleForwardRequest(instance.entry, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::forward_answer>) {
+          entry::HandleForwardAnswer(instance.entry, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::configuration_request>) {
+          membership::HandleConfigurationRequest(membership, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::configuration_value>) {
+          membership::HandleConfigurationValue(membership, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::table_exchange>) {
+          membership::HandleTableExchange(membership, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::probe>) {
+          membership::HandleProbe(membership, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::probe_ack>) {
+          membership::HandleProbeAck(membership, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::indirect_probe>) {
+          membership::HandleIndirectProbe(membership, ctx, header, body);
+        } else {
+          static_assert(std::is_same_v<body_type, peer::announce>);
+          membership::HandleAnnounce(membership, ctx, header, body);
+        }
+      },
+      message.body);
+}
+
+void Dispatch(instance& instance, context& ctx, const io::event& event) {
+  std::visit(
+      [&](const auto& e) {
+        using event_type = std::decay_t<decltype(e)>;
+        if constexpr (std::is_same_v<event_type, io::query_received>) {
+          entry::HandleQuery(instance.entry, ctx, e);
+        } else if constexpr (std::is_same_v<event_type, io::query_abandoned>) {
+          entry::HandleAbandoned(instance.entry, ctx, e);
+        } else if constexpr (std::is_same_v<event_type, io::addresses_requested>) {
+          entry::HandleAddresses(instance.entry, ctx, e);
+        } else if constexpr (std::is_same_v<event_type, io::peer_message_received>) {
+          membership::HandleHeader(instance.membership, ctx, e.message.header);
+          HandlePeerMessage(instance, ctx, e.message);
+        } else if constexpr (std::is_same_v<event_type, io::peer_send_failed>) {
+          entry::HandleSendFailed(instance.entry, ctx, e);
+          membership::HandleSendFailed(instance.membership, ctx, e);
+        } else if constexpr (std::is_same_v<event_type, io::backend_call_ended>) {
+          gather::HandleCallEnded(instance.gather, ctx, e);
+        } else if constexpr (std::is_same_v<event_type, io::backend_probe_ended>) {
+          gather::HandleProbeEnded(instance.gather, ctx, e);
+        } else if constexpr (std::is_same_v<event_type, io::configuration_read>) {
+          membership::HandleConfigurationRead(instance.membership, ctx, e);
+        } else if constexpr (std::is_same_v<event_type, io::configuration_read_failed>) {
+          membership::HandleConfigurationReadFailed(instance.membership, ctx, e);
+        } else if constexpr (std::is_same_v<event_type, io::instance_list_read>) {
+          membership::HandleInstanceList(instance.membership, ctx, e);
+        } else {
+          static_assert(std::is_same_v<event_type, io::leave_requested>);
+          membership::HandleLeave(instance.membership, ctx);
+        }
+      },
+      event);
+}
+
+/// Delivers messages that an instance sends to itself, such as those of an entry to its own gatherer, without the
+/// network. New ones that this produces are delivered too.
+void DeliverToSelf(instance& instance, base::time_point now, io::command_list& out, std::size_t first) {
+  const base::instance_id& self = instance.membership.members.self.ref.id;
+  for (std::size_t i = first; i < out.size(); ++i) {
+    auto* const send = std::get_if<io::send_peer>(&out[i]);
+    if (send == nullptr || send->target != self) continue;
+    const peer::message message = std::move(send->message);
+    out.erase(out.begin() + static_cast<std::ptrdiff_t>(i));
+    --i;
+    context ctx = MakeContext(instance, now, out);
+    HandlePeerMessage(instance, ctx, message);
+  }
+}
+
+/// Reacts to a gap in the clock, before anything else is done with the time.
+void CheckPause(instance& instance, base::time_point now, io::command_list& out) {
+  const base::duration gap = now - instance.last_run;
+  const bool first_run = instance.last_run == base::time_point{};
+  instance.last_run = now;
+  if (first_run || gap <= kPauseGap) return;
+  context ctx = MakeContext(instance, now, out);
+  LogDecision(ctx, "pause", {{"gap_ms", std::to_string(base::ToMilliseconds(gap))}});
+  membership::HandlePause(instance.membership, ctx, gap);
+  gather::HandlePause(instance.gather, ctx, gap);
+  entry::HandlePause(instance.entry, ctx, gap);
+}
+
+/// How long a leaving instance must still accept requests: its address may have been handed out just before the last
+/// peer learnt that it leaves.
+base::duration LeaveGrace(const instance& instance) {
+  constexpr base::duration kSpreadMargin = std::chrono::seconds(2);
+  const config::configuration_ptr& config = instance.membership.store.in_force;
+  if (config == nullptr) return kSpreadMargin;
+  return config->limit.address_validity + kSpreadMargin;
+}
+
+void CheckExit(instance& instance, base::time_point now, io::command_list& out) {
+  if (!instance.leaving || instance.exited || now < instance.leave_at) return;
+  if (!entry::IsIdle(instance.entry, now) || !gather::IsIdle(instance.gather)) return;
+  instance.exited = true;
+  out.push_back(io::exit_process{});
+}
+
+}  // namespace
+
+instance MakeInstance(const membership::identity& self, std::uint64_t seed, base::time_point now) {
+  instance made;
+  made.membership.members.self = self;
+  made.random.state = seed;
+  made.last_run = now;
+  return made;
+}
+
+void HandleEvent(instance& instance, const io::event& event, base::time_point now, io::command_list& out) {
+  const std::size_t first = out.size();
+  CheckPause(instance, now, out);
+  if (std::holds_alternative<io::leave_requested>(event) && !instance.leaving) {
+    instance.leaving = true;
+    instance.leave_at = now + LeaveGrace(instance);
+    ++instance.membership.members.version;
+  }
+  context ctx = MakeContext(instance, now, out);
+  Dispatch(instance, ctx, event);
+  RefreshPlacement(instance);
+  DeliverToSelf(instance, now, out, first);
+}
+
+void RunTick(instance& instance, base::time_point now, io::command_list& out) {
+  const std::size_t first = out.size();
+  CheckPause(instance, now, out);
+  {
+    context ctx = MakeContext(instance, now, out);
+    membership::RunMembership(instance.membership, ctx);
+  }
+  RefreshPlacement(instance);
+  context ctx = MakeContext(instance, now, out);
+  gather::RunGather(instance.gather, ctx);
+  entry::RunEntry(instance.entry, ctx);
+  DeliverToSelf(instance, now, out, first);
+  CheckExit(instance, now, out);
+}
+
+}  // namespace limpetrouter::core::instance
--- /dev/null
+++ b/core/io/command.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/base/strong_id.h"
+#include "core/base/time.h"
+#include "core/peer/messages.h"
+
+namespace limpetrouter::core::io {
+
+/// Answers the caller of a query.
+struct reply_query {
+  base::reply_handle handle;
+  peer::query_answer answer;
+};
+
+/// An address that a caller may use.
+struct caller_address {
+  base::instance_id instance;
+  std::string http_address;
+};
+
+struct addresses_answer {
+  /// In the order in which the caller should try them.
+  std::vector<caller_address> addresses;
+  base::duration validity{};
+  std::vector<std::string> permits;
+  base::duration permit_validity{};
+};
+
+struct reply_addresses {
+  base::reply_handle handle;
+  addresses_answer answer;
+};
+
+enum class transport : std::uint8_t { kDatagram, kStream };
+
+/// Sends a message to another instance. A stream message that certainly or possibly was not delivered comes back as
+/// `peer_send_failed`; a datagram may be lost silently.
+struct send_peer {
+  base::instance_id target;
+  std::string address;
+  transport via = transport::kStream;
+  peer::message message;
+};
+
+/// One call to a backend server, identified by (entry, attempt).
+struct call_backend {
+  base::instance_ref entry;
+  base::attempt_sequence attempt;
+  base::query_sequence query;
+  base::backend_server_id backend_server;
+  std::string address;
+  base::collection_id collection;
+  base::operation_id operation;
+  base::snapshot_id snapshot;
+  base::shard_id shard;
+  std::string key;
+  std::string body;
+  bool repeatable = true;
+  /// Time left. The shell gives up then, and checks right before it writes.
+  base::duration remaining{};
+};
+
+/// Stops a call: the connection is closed and the backend server is told.
+struct cancel_backend_call {
+  base::instance_ref entry;
+  base::attempt_sequence attempt;
+  std::string address;
+};
+
+/// Reads the load report of a backend server. `connections` above 1 sends as many at once, which opens connections
+/// ahead of use.
+struct probe_backend {
+  base::backend_server_id backend_server;
+  std::string address;
+  std::uint32_t connections = 1;
+};
+
+/// Reads the configuration service. With a wait, the service answers when there is a revision above `after`.
+struct read_configuration {
+  base::revision_id after;
+  base::duration wait{};
+};
+
+struct read_instance_list {};
+
+/// A routing or placement decision, or another event that an operator wants to see. One structured line.
+struct log_decision {
+  /// Stable name, for example "route", "hedge", "retry", "refuse", "place", "eject", "drain".
+  std::string decision;
+  /// Alternating names and values.
+  std::vector<std::pair<std::string, std::string>> fields;
+};
+
+/// All work has ended after a leave request.
+struct exit_process {};
+
+using command = std::variant<reply_query, reply_addresses, send_peer, call_backend, cancel_backend_call, probe_backend,
+                             read_configuration, read_instance_list, log_decision, exit_process>;
+using command_list = std::vector<command>;
+
+}  // namespace limpetrouter::core::io
--- /dev/null
+++ b/core/peer/messages.h
@@ -0,0 +1,359 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/base/error_kind.h"
+#include "core/base/strong_id.h"
+
+namespace limpetrouter::core::peer {
+
+/// State of a member of the fleet, in rising order of precedence at the same counter.
+enum class member_state : std::uint8_t { kAlive, kLeaving, kSuspect, kDead };
+
+/// What one instance says about a member.
+struct member_update {
+  base::instance_ref member;
+  base::data_centre_id data_centre;
+  /// "IP:port" of its UDP and TCP interface to peers.
+  std::string peer_address;
+  /// "IP:port" of its HTTP interface to callers.
+  std::string http_address;
+  member_state state = member_state::kAlive;
+  /// Raised only by the member itself, to refute a suspicion or to announce that it leaves.
+  std::uint32_t counter = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(member, data_centre, peer_address, http_address, state, counter);
+  }
+};
+
+enum class fact_kind : std::uint8_t { kBackendDraining, kRequestWithheld };
+
+/// A short-lived statement that all instances should know.
+struct fact {
+  fact_kind kind = fact_kind::kBackendDraining;
+  /// Backend server id, or fingerprint as 16 hexadecimal digits.
+  std::string subject;
+  /// For a drain: the configuration revision under which it was observed. A newer revision that lists the backend
+  /// server as active ends it.
+  std::uint64_t revision = 0;
+  /// For a drain: the life of the backend server that drains, from its load report; 0 if unknown.
+  std::uint64_t boot = 0;
+  /// Remaining lifetime in microseconds. Not used for drains, which do not expire.
+  std::int64_t expires_in_us = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(kind, subject, revision, boot, expires_in_us);
+  }
+};
+
+/// Precedes every message.
+struct message_header {
+  base::instance_ref sender;
+  base::data_centre_id data_centre;
+  /// Configuration in force at the sender; 0 if none.
+  base::revision_id revision;
+  std::uint64_t digest = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(sender, data_centre, revision, digest);
+  }
+};
+
+/// One row of an answer. Rows are merged in the order of `key`.
+struct result_row {
+  std::string key;
+  /// JSON text.
+  std::string value;
+
+  friend bool operator==(const result_row&, const result_row&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(key, value);
+  }
+};
+
+/// A named sum over documents. Merged by addition.
+struct result_total {
+  std::string name;
+  std::int64_t value = 0;
+
+  friend bool operator==(const result_total&, const result_total&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(name, value);
+  }
+};
+
+/// One call that a gatherer should make.
+struct gather_item {
+  base::attempt_sequence attempt;
+  base::shard_id shard;
+  base::backend_server_id backend_server;
+  /// The entry could not use the primary holder, so a standby should run the call.
+  bool primary_unusable = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(attempt, shard, backend_server, primary_unusable);
+  }
+};
+
+struct gather_request {
+  base::query_sequence query;
+  base::collection_id collection;
+  base::operation_id operation;
+  base::snapshot_id snapshot;
+  std::string key;
+  std::string body;
+  bool urgent = false;
+  bool repeatable = true;
+  /// The fingerprint has succeeded before, so calls with it need not run one at a time.
+  bool proven = false;
+  base::fingerprint_id fingerprint;
+  /// Time left until the deadline when the message was sent, in microseconds.
+  std::int64_t remaining_us = 0;
+  std::vector<gather_item> items;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(query, collection, operation, snapshot, key, body, urgent, repeatable, proven, fingerprint, remaining_us,
+            items);
+  }
+};
+
+/// End of one attempt.
+struct attempt_result {
+  base::attempt_sequence attempt;
+  base::shard_id shard;
+  base::backend_server_id backend_server;
+  /// True for an accepted answer; `failure` is meaningless then.
+  bool succeeded = false;
+  base::error_kind failure = base::error_kind::kInternal;
+  base::executed_state executed = base::executed_state::kUnknown;
+  base::snapshot_id snapshot;
+  std::uint64_t documents = 0;
+  std::vector<result_row> rows;
+  std::vector<result_total> totals;
+  /// Time spent in the gatherer's queue, in microseconds.
+  std::int64_t queued_us = 0;
+  /// Time of the backend call itself, in microseconds.
+  std::int64_t called_us = 0;
+  /// The backend server said that it drains.
+  bool draining = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(attempt, shard, backend_server, succeeded, failure, executed, snapshot, documents, rows, totals, queued_us,
+            called_us, draining);
+  }
+};
+
+struct gather_answer {
+  /// Entry that asked, in the life that asked.
+  base::instance_ref entry;
+  base::query_sequence query;
+  std::vector<attempt_result> results;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(entry, query, results);
+  }
+};
+
+struct gather_cancel {
+  base::query_sequence query;
+  std::vector<base::attempt_sequence> attempts;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(query, attempts);
+  }
+};
+
+/// A caller's query, decoded and bounded but not yet checked against the configuration.
+struct query_request {
+  /// The caller's own name for the request, echoed in the answer.
+  std::string request_id;
+  base::collection_id collection;
+  base::operation_id operation;
+  std::string key;
+  /// JSON text handed to backend servers.
+  std::string body;
+  /// 0 to use the default of the operation.
+  std::int64_t deadline_ms = 0;
+  /// Text of the permit, for operations that are not repeatable.
+  std::string permit;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(request_id, collection, operation, key, body, deadline_ms, permit);
+  }
+};
+
+struct coverage {
+  std::uint64_t documents_answered = 0;
+  std::uint64_t documents_total = 0;
+  std::uint32_t shards_answered = 0;
+  std::uint32_t shards_total = 0;
+
+  friend bool operator==(const coverage&, const coverage&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(documents_answered, documents_total, shards_answered, shards_total);
+  }
+};
+
+/// The one answer to a query.
+struct query_answer {
+  std::string request_id;
+  /// "instance/incarnation/sequence" of the query at its entry, for `limpetctl explain`.
+  std::string query_id;
+  bool succeeded = false;
+  base::error_kind failure = base::error_kind::kInternal;
+  std::string detail;
+  base::executed_state executed = base::executed_state::kUnknown;
+  base::snapshot_id snapshot;
+  base::revision_id revision;
+  peer::coverage coverage;
+  std::vector<result_row> rows;
+  std::vector<result_total> totals;
+  /// For kOverloaded: when a new try has a chance, in milliseconds.
+  std::int64_t retry_after_ms = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(request_id, query_id, succeeded, failure, detail, executed, snapshot, revision, coverage, rows, totals,
+            retry_after_ms);
+  }
+};
+
+/// A non-repeatable request on its way to the owner of its permit.
+struct forward_request {
+  std::uint64_t token = 0;
+  std::int64_t remaining_us = 0;
+  query_request request;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(token, remaining_us, request);
+  }
+};
+
+struct forward_answer {
+  std::uint64_t token = 0;
+  query_answer answer;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(token, answer);
+  }
+};
+
+struct configuration_request {
+  base::revision_id have;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(have);
+  }
+};
+
+struct configuration_value {
+  base::revision_id revision;
+  std::uint64_t digest = 0;
+  base::revision_id base;
+  std::string text;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(revision, digest, base, text);
+  }
+};
+
+/// Anti-entropy: the sender's whole member table and facts.
+struct table_exchange {
+  std::vector<member_update> members;
+  std::vector<fact> facts;
+  bool reply_wanted = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(members, facts, reply_wanted);
+  }
+};
+
+/// Changes carried by every UDP message.
+struct piggyback {
+  std::vector<member_update> members;
+  std::vector<fact> facts;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(members, facts);
+  }
+};
+
+struct probe {
+  std::uint64_t sequence = 0;
+  piggyback changes;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(sequence, changes);
+  }
+};
+
+struct probe_ack {
+  std::uint64_t sequence = 0;
+  piggyback changes;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(sequence, changes);
+  }
+};
+
+/// Asks the receiver to probe `target` on behalf of the sender.
+struct indirect_probe {
+  std::uint64_t sequence = 0;
+  base::instance_id target;
+  std::string target_address;
+  piggyback changes;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(sequence, target, target_address, changes);
+  }
+};
+
+struct announce {
+  piggyback changes;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(changes);
+  }
+};
+
+using message_body =
+    std::variant<gather_request, gather_answer, gather_cancel, forward_request, forward_answer, configuration_request,
+                 configuration_value, table_exchange, probe, probe_ack, indirect_probe, announce>;
+
+struct message {
+  message_header header;
+  message_body body;
+};
+
+}  // namespace limpetrouter::core::peer
--- /dev/null
+++ b/tests/core/base/error_kind_test.cc
@@ -0,0 +1,37 @@
+#include "core/base/error_kind.h"
+
+#include <set>
+
+#include <catch2/catch.hpp>
+
+namespace limpetrouter::core::base {
+namespace {
+
+// Guards against a kind that callers cannot tell from another, or that loses its name on the way through a peer.
+TEST_CASE("every error kind has a unique name that parses back") {
+  std::set<std::string_view> names;
+  for (std::size_t i = 0; i < kErrorKindCount; ++i) {
+    const auto kind = static_cast<error_kind>(i);
+    INFO(ToString(kind));
+    CHECK(names.insert(ToString(kind)).second);
+    CHECK(ParseErrorKind(ToString(kind)) == kind);
+    CHECK(DescribeError(kind).http_status >= 400);
+  }
+}
+
+// Guards against a refusal that says "not run" although one of its attempts may have run.
+TEST_CASE("combined execution state is no only if both are no") {
+  struct row {
+    executed_state a, b, expected;
+  };
+  const auto no = executed_state::kNo;
+  const auto yes = executed_state::kYes;
+  const auto unknown = executed_state::kUnknown;
+  const auto r = GENERATE_COPY(values<row>(
+      {{no, no, no}, {no, yes, yes}, {no, unknown, unknown}, {unknown, yes, yes}, {unknown, unknown, unknown}}));
+  CHECK(CombineExecuted(r.a, r.b) == r.expected);
+  CHECK(CombineExecuted(r.b, r.a) == r.expected);
+}
+
+}  // namespace
+}  // namespace limpetrouter::core::base
