Add configuration lookups, facts and placement of holders

Cause: the gatherer, the entry and the peer role all need these three.

Facts: the end of a drain is a fact of its own (kDrainEnded), because only holders read load reports; without it, peers that still know the drain bring it back. kRequestSuspected shares first crashes; its value names the crashed server, so that crashes seen by two instances add up to the second one. MergeFact and ExpireFacts are for the peer role. RecordBoot takes the time.

Placement: groups are windows of the shard order per collection, data centre and rank among the replicas, so that one server more or less leaves the other groups as they are.

Conclusion: placement can be computed on every change of members.

--- /dev/null
+++ b/core/membership/fact_table.cc
@@ -0,0 +1,186 @@
+#include "core/membership/fact_table.h"
+
+#include <algorithm>
+
+#include "core/base/digest.h"
+
+namespace limpetrouter::core::membership {
+namespace {
+
+using peer::fact_kind;
+
+/// The end of a drain must outlive the longest partition in which another instance could keep the drain (an hour).
+constexpr base::duration kDrainEndTime = std::chrono::hours(2);
+/// No fact is kept longer than this on the word of another instance.
+constexpr base::duration kMaxLifetime = std::chrono::hours(24);
+
+std::string EndSubject(const std::string& server, std::uint64_t boot) { return server + "/" + base::ToHex(boot); }
+
+bool Expires(fact_kind kind) { return kind != fact_kind::kBackendDraining; }
+
+const known_fact* Find(const fact_table& table, fact_kind kind, const std::string& subject) {
+  const auto found = table.facts.find({kind, subject});
+  return found == table.facts.end() ? nullptr : &found->second;
+}
+
+const known_fact* FindLive(const fact_table& table, fact_kind kind, const std::string& subject, base::time_point now) {
+  const known_fact* const known = Find(table, kind, subject);
+  return known != nullptr && known->expires > now ? known : nullptr;
+}
+
+void Put(fact_table& table, const peer::fact& fact, base::duration lifetime, base::time_point now) {
+  known_fact& known = table.facts[{fact.kind, fact.subject}];
+  known.fact = fact;
+  known.fact.expires_in_us = Expires(fact.kind) ? lifetime.count() : 0;
+  known.expires = Expires(fact.kind) ? now + lifetime : base::time_point::max();
+  known.transmissions_left = kFactTransmissions;
+  known.urgent = true;
+}
+
+/// The life `boot` of the server is over. 0 is no life.
+bool HasEnded(const fact_table& table, const std::string& server, std::uint64_t boot) {
+  return boot != 0 && Find(table, fact_kind::kDrainEnded, EndSubject(server, boot)) != nullptr;
+}
+
+void PutEnd(fact_table& table, const std::string& server, std::uint64_t boot, base::time_point now) {
+  if (boot == 0 || HasEnded(table, server, boot)) return;
+  peer::fact end;
+  end.kind = fact_kind::kDrainEnded;
+  end.subject = EndSubject(server, boot);
+  Put(table, end, kDrainEndTime, now);
+}
+
+/// Order of drains of one server. A life that is over comes last, then the newer revision counts, then a known life.
+bool Supersedes(const fact_table& table, const peer::fact& offered, const peer::fact& held) {
+  const bool offered_ended = HasEnded(table, offered.subject, offered.boot);
+  const bool held_ended = HasEnded(table, held.subject, held.boot);
+  if (offered_ended != held_ended) return held_ended;
+  if (offered.revision != held.revision) return offered.revision > held.revision;
+  return offered.boot > held.boot;
+}
+
+bool MergeDrain(fact_table& table, const peer::fact& fact, base::time_point now) {
+  const known_fact* const held = Find(table, fact_kind::kBackendDraining, fact.subject);
+  if (held == nullptr ? HasEnded(table, fact.subject, fact.boot) : !Supersedes(table, fact, held->fact)) return false;
+  Put(table, fact, {}, now);
+  return true;
+}
+
+bool MergeTimed(fact_table& table, const peer::fact& fact, base::duration lifetime, base::time_point now) {
+  if (FindLive(table, fact.kind, fact.subject, now) != nullptr) return false;
+  Put(table, fact, lifetime, now);
+  return true;
+}
+
+bool MergeSuspicion(fact_table& table, const peer::fact& fact, base::duration lifetime, base::time_point now) {
+  const known_fact* const held = FindLive(table, fact.kind, fact.subject, now);
+  if (held == nullptr) {
+    Put(table, fact, lifetime, now);
+    return true;
+  }
+  const bool certain = fact.revision != 0 || held->fact.revision != 0;
+  bool news = false;
+  if (held->fact.boot != fact.boot && certain) {
+    peer::fact withheld;
+    withheld.kind = fact_kind::kRequestWithheld;
+    withheld.subject = fact.subject;
+    news = MergeTimed(table, withheld, lifetime, now);
+  }
+  // Of several the certain one is kept, then the one with the higher hash, whichever came first.
+  if (std::pair(fact.revision, fact.boot) <= std::pair(held->fact.revision, held->fact.boot)) return news;
+  Put(table, fact, lifetime, now);
+  return true;
+}
+
+}  // namespace
+
+void RecordDrain(fact_table& table, const base::backend_server_id& id, base::revision_id revision, std::uint64_t boot,
+                 base::time_point now) {
+  const known_fact* const held = Find(table, fact_kind::kBackendDraining, id.value);
+  const std::uint64_t held_boot = held == nullptr ? 0 : held->fact.boot;
+  // Without a life of its own, the statement belongs to the one that is known, unless that one is over.
+  if (boot == 0 && !HasEnded(table, id.value, held_boot)) boot = held_boot;
+  if (HasEnded(table, id.value, boot)) return;
+  if (held != nullptr && held->fact.revision >= revision.value && held_boot == boot) return;
+  peer::fact fact;
+  fact.kind = fact_kind::kBackendDraining;
+  fact.subject = id.value;
+  fact.revision = held == nullptr ? revision.value : std::max(held->fact.revision, revision.value);
+  fact.boot = boot;
+  if (held_boot != boot) PutEnd(table, id.value, held_boot, now);
+  Put(table, fact, {}, now);
+}
+
+void RecordBoot(fact_table& table, const base::backend_server_id& id, std::uint64_t boot, bool draining,
+                base::time_point now) {
+  if (boot == 0) return;
+  const known_fact* const held = Find(table, fact_kind::kBackendDraining, id.value);
+  if (held == nullptr || held->fact.boot == boot) return;
+  if (HasEnded(table, id.value, boot)) return;
+  if (held->fact.boot == 0) {
+    peer::fact fact = held->fact;
+    fact.boot = boot;
+    Put(table, fact, {}, now);
+    return;
+  }
+  if (draining) return;
+  PutEnd(table, id.value, held->fact.boot, now);
+  table.facts.erase({fact_kind::kBackendDraining, id.value});
+}
+
+bool IsDraining(const fact_table& table, const config::configuration& config, const base::backend_server_id& id) {
+  const config::backend_server* const server = config::FindBackendServer(config, id);
+  if (server != nullptr && server->state == config::backend_state::kLeaving) return true;
+  if (table.facts.empty()) return false;
+  const known_fact* const held = Find(table, fact_kind::kBackendDraining, id.value);
+  if (held == nullptr || HasEnded(table, id.value, held->fact.boot)) return false;
+  return server == nullptr || config.revision.value <= held->fact.revision;
+}
+
+void RecordWithheld(fact_table& table, base::fingerprint_id fingerprint, base::duration time, base::time_point now) {
+  peer::fact fact;
+  fact.kind = fact_kind::kRequestWithheld;
+  fact.subject = base::ToHex(fingerprint.value);
+  if (FindLive(table, fact.kind, fact.subject, now) == nullptr) Put(table, fact, time, now);
+}
+
+bool IsWithheld(const fact_table& table, base::fingerprint_id fingerprint, base::time_point now) {
+  if (table.facts.empty()) return false;
+  return FindLive(table, fact_kind::kRequestWithheld, base::ToHex(fingerprint.value), now) != nullptr;
+}
+
+void RecordSuspected(fact_table& table, base::fingerprint_id fingerprint, const suspicion& crash, base::duration time,
+                     base::time_point now) {
+  peer::fact fact;
+  fact.kind = fact_kind::kRequestSuspected;
+  fact.subject = base::ToHex(fingerprint.value);
+  fact.boot = crash.crashed_server;
+  fact.revision = crash.certain ? 1 : 0;
+  MergeSuspicion(table, fact, time, now);
+}
+
+std::optional<suspicion> FindSuspicion(const fact_table& table, base::fingerprint_id fingerprint,
+                                       base::time_point now) {
+  if (table.facts.empty()) return std::nullopt;
+  const known_fact* const known = FindLive(table, fact_kind::kRequestSuspected, base::ToHex(fingerprint.value), now);
+  if (known == nullptr) return std::nullopt;
+  return suspicion{known->fact.boot, known->fact.revision != 0};
+}
+
+bool IsSuspected(const fact_table& table, base::fingerprint_id fingerprint, base::time_point now) {
+  return FindSuspicion(table, fingerprint, now).has_value();
+}
+
+bool MergeFact(fact_table& table, const peer::fact& fact, base::time_point now) {
+  if (fact.kind == fact_kind::kBackendDraining) return MergeDrain(table, fact, now);
+  if (fact.expires_in_us <= 0) return false;
+  const base::duration lifetime = std::min(base::duration(fact.expires_in_us), kMaxLifetime);
+  if (fact.kind == fact_kind::kRequestSuspected) return MergeSuspicion(table, fact, lifetime, now);
+  return MergeTimed(table, fact, lifetime, now);
+}
+
+void ExpireFacts(fact_table& table, base::time_point now) {
+  std::erase_if(table.facts, [now](const auto& entry) { return entry.second.expires <= now; });
+}
+
+}  // namespace limpetrouter::core::membership
--- a/core/peer/messages.h
+++ b/core/peer/messages.h
@@ -33,17 +33,19 @@
   }
 };
 
-enum class fact_kind : std::uint8_t { kBackendDraining, kRequestWithheld };
+enum class fact_kind : std::uint8_t { kBackendDraining, kRequestWithheld, kRequestSuspected, kDrainEnded };
 
 /// A short-lived statement that all instances should know.
 struct fact {
   fact_kind kind = fact_kind::kBackendDraining;
-  /// Backend server id, or fingerprint as 16 hexadecimal digits.
+  /// Backend server id, or fingerprint as 16 hexadecimal digits. For the end of a drain: backend server id, "/" and the
+  /// life that is over as 16 hexadecimal digits.
   std::string subject;
   /// For a drain: the configuration revision under which it was observed. A newer revision that lists the backend
-  /// server as active ends it.
+  /// server as active ends it. For a suspected request: 1 if no other request can have caused the crash.
   std::uint64_t revision = 0;
-  /// For a drain: the life of the backend server that drains, from its load report; 0 if unknown.
+  /// For a drain: the life of the backend server that drains, from its load report; 0 if unknown. For a suspected
+  /// request: hash of the id of the backend server that crashed.
   std::uint64_t boot = 0;
   /// Remaining lifetime in microseconds. Not used for drains, which do not expire.
   std::int64_t expires_in_us = 0;
--- /dev/null
+++ b/tests/core/membership/fact_table_test.cc
@@ -0,0 +1,127 @@
+#include "core/membership/fact_table.h"
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+namespace limpetrouter::core::membership {
+namespace {
+
+const base::backend_server_id kServer("s1");
+const base::time_point kStart{std::chrono::seconds(100)};
+
+config::configuration MakeConfiguration(std::uint64_t revision, config::backend_state state) {
+  config::configuration config;
+  config.revision.value = revision;
+  config::backend_server server;
+  server.id = kServer;
+  server.state = state;
+  config.backend_servers = {server};
+  config.backend_server_index = {{kServer, 0}};
+  return config;
+}
+
+bool Drains(const fact_table& table, std::uint64_t revision) {
+  return IsDraining(table, MakeConfiguration(revision, config::backend_state::kActive), kServer);
+}
+
+/// All facts of `from` as another instance would receive them.
+void Spread(const fact_table& from, fact_table& to) {
+  for (const auto& [key, known] : from.facts)
+    MergeFact(to, known.fact, kStart);
+}
+
+// Guards against a draining server that receives work again because a report lags, and against one that stays unused
+// after a restart or a newer revision.
+TEST_CASE("a drain ends only by a newer revision or a restart") {
+  fact_table table;
+  CHECK_FALSE(Drains(table, 5));
+  CHECK(IsDraining(table, MakeConfiguration(5, config::backend_state::kLeaving), kServer));
+  RecordDrain(table, kServer, base::revision_id(5), 11, kStart);
+  CHECK(Drains(table, 5));
+  CHECK_FALSE(Drains(table, 6));
+  RecordBoot(table, kServer, 11, false, kStart);
+  ExpireFacts(table, kStart + std::chrono::hours(100));
+  CHECK(Drains(table, 5));
+  RecordBoot(table, kServer, 12, true, kStart);
+  CHECK(Drains(table, 5));
+  RecordBoot(table, kServer, 12, false, kStart);
+  CHECK_FALSE(Drains(table, 5));
+  RecordDrain(table, kServer, base::revision_id(5), 12, kStart);
+  CHECK(Drains(table, 5));
+}
+
+// Guards against a lagging report that ends a drain which was heard of before the first load report.
+TEST_CASE("a drain without a known life takes the first one reported") {
+  fact_table table;
+  RecordDrain(table, kServer, base::revision_id(5), 0, kStart);
+  RecordBoot(table, kServer, 11, false, kStart);
+  CHECK(Drains(table, 5));
+  RecordBoot(table, kServer, 12, false, kStart);
+  CHECK_FALSE(Drains(table, 5));
+}
+
+// Guards against an ended drain that comes back from a peer which has not heard of its end, in any order of messages.
+TEST_CASE("the end of a drain spreads and outlasts old copies of the drain") {
+  fact_table holder;
+  RecordDrain(holder, kServer, base::revision_id(5), 11, kStart);
+  fact_table peer;
+  Spread(holder, peer);
+  CHECK(Drains(peer, 5));
+  const fact_table stale = peer;
+  RecordBoot(holder, kServer, 12, false, kStart);
+  const bool end_first = GENERATE(true, false);
+  fact_table third;
+  Spread(end_first ? holder : stale, third);
+  Spread(end_first ? stale : holder, third);
+  Spread(stale, holder);
+  Spread(holder, peer);
+  for (const fact_table* table : {&holder, &peer, &third})
+    CHECK_FALSE(Drains(*table, 5));
+  RecordDrain(holder, kServer, base::revision_id(5), 12, kStart);
+  Spread(holder, third);
+  CHECK(Drains(third, 5));
+}
+
+// Guards against facts that circulate for ever.
+TEST_CASE("a repeated fact is no news and an expired one is forgotten") {
+  fact_table table;
+  const base::fingerprint_id fingerprint(77);
+  RecordWithheld(table, fingerprint, std::chrono::minutes(10), kStart);
+  REQUIRE(table.facts.size() == 1);
+  CHECK(table.facts.begin()->second.urgent);
+  const peer::fact fact = table.facts.begin()->second.fact;
+  CHECK_FALSE(MergeFact(table, fact, kStart));
+  fact_table other;
+  CHECK(MergeFact(other, fact, kStart));
+  CHECK(IsWithheld(other, fingerprint, kStart + std::chrono::minutes(9)));
+  CHECK_FALSE(IsWithheld(other, fingerprint, kStart + std::chrono::minutes(10)));
+  ExpireFacts(other, kStart + std::chrono::minutes(10));
+  CHECK(other.facts.empty());
+}
+
+// Guards against a third crash where two instances saw one crash each before they heard of the other's, and against
+// withholding a request that merely shared two crashed servers.
+TEST_CASE("crashes seen by two instances add up") {
+  struct row {
+    std::uint64_t other_server;
+    bool certain;
+    bool withheld;
+  };
+  const auto r = GENERATE(values<row>({{1, true, false}, {2, true, true}, {2, false, false}}));
+  const base::fingerprint_id fingerprint(77);
+  fact_table a;
+  fact_table b;
+  RecordSuspected(a, fingerprint, {1, false}, std::chrono::minutes(10), kStart);
+  RecordSuspected(b, fingerprint, {r.other_server, r.certain}, std::chrono::minutes(10), kStart);
+  Spread(a, b);
+  Spread(b, a);
+  for (const fact_table* table : {&a, &b}) {
+    CHECK(IsSuspected(*table, fingerprint, kStart));
+    CHECK(IsWithheld(*table, fingerprint, kStart) == r.withheld);
+  }
+  CHECK(FindSuspicion(a, fingerprint, kStart)->crashed_server == FindSuspicion(b, fingerprint, kStart)->crashed_server);
+}
+
+}  // namespace
+}  // namespace limpetrouter::core::membership
--- /dev/null
+++ b/tests/core/membership/placement_test.cc
@@ -0,0 +1,178 @@
+#include "core/membership/placement.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <set>
+
+#include <catch2/catch.hpp>
+
+#include "core/base/random.h"
+
+namespace limpetrouter::core::membership {
+namespace {
+
+std::string Centre(std::size_t i) { return "dc" + std::to_string(i); }
+
+/// `services` services of `replicas` servers each, one shard each, spread over `centres` data centres in two regions.
+config::configuration MakeConfiguration(std::size_t services, std::size_t replicas, std::size_t centres) {
+  config::configuration config;
+  config.revision.value = 3;
+  for (std::size_t i = 0; i < centres; ++i) {
+    config.data_centres.push_back({base::data_centre_id(Centre(i)), base::region_id(i % 2 == 0 ? "east" : "west")});
+  }
+  config::shard_map map;
+  map.collection = base::collection_id("ledger");
+  config::snapshot snapshot;
+  snapshot.servable = true;
+  for (std::size_t s = 0; s < services; ++s) {
+    config::shard shard;
+    shard.id.value = static_cast<std::uint32_t>(s);
+    for (std::size_t r = 0; r < replicas; ++r) {
+      config::backend_server server;
+      server.id = base::backend_server_id("s" + std::to_string(s) + "-" + std::to_string(r));
+      server.data_centre = base::data_centre_id(Centre((s + r * 2) % centres));
+      shard.replicas.push_back(static_cast<std::uint32_t>(config.backend_servers.size()));
+      config.backend_servers.push_back(server);
+    }
+    snapshot.shards.push_back(shard);
+  }
+  map.snapshots = {snapshot};
+  config.shard_maps = {map};
+  config.shard_map_index = {{map.collection, 0}};
+  return config;
+}
+
+std::vector<placement_candidate> MakeCandidates(std::size_t per_centre, std::size_t centres) {
+  std::vector<placement_candidate> candidates;
+  for (std::size_t i = 0; i < per_centre * centres; ++i) {
+    candidates.push_back({base::instance_id("i" + std::to_string(i)), base::data_centre_id(Centre(i % centres))});
+  }
+  return candidates;
+}
+
+bool SameHolders(const holders& a, const holders& b) { return a.primary == b.primary && a.standby == b.standby; }
+
+std::map<base::instance_id, std::size_t> Loads(const placement& placement, base::instance_id holders::*role) {
+  std::map<base::instance_id, std::size_t> loads;
+  for (const holders& h : placement.by_backend_server)
+    ++loads[h.*role];
+  return loads;
+}
+
+// Guards against holders that instances with the same view disagree about, and against a primary that is its own
+// standby.
+TEST_CASE("placement depends on the set of candidates alone and names two different holders") {
+  const auto [services, replicas, centres, per_centre] =
+      GENERATE(table<std::size_t, std::size_t, std::size_t, std::size_t>(
+          {{800, 4, 5, 90}, {10, 3, 3, 3}, {25, 3, 3, 1}, {9, 3, 1, 2}, {15, 3, 3, 30}}));
+  const config::configuration config = MakeConfiguration(services, replicas, centres);
+  std::vector<placement_candidate> candidates = MakeCandidates(per_centre, centres);
+  const placement first = ComputePlacement(config, candidates);
+  base::random_source random{5};
+  for (std::size_t i = candidates.size() - 1; i > 0; --i)
+    std::swap(candidates[i], candidates[base::NextBelow(random, i + 1)]);
+  const placement second = ComputePlacement(config, candidates);
+  REQUIRE(first.by_backend_server.size() == services * replicas);
+  for (std::size_t s = 0; s < services * replicas; ++s) {
+    CHECK(SameHolders(first.by_backend_server[s], second.by_backend_server[s]));
+    CHECK_FALSE(first.by_backend_server[s].primary.value.empty());
+    CHECK(first.by_backend_server[s].standby.value.empty() == (per_centre == 1));
+    CHECK(first.by_backend_server[s].primary != first.by_backend_server[s].standby);
+  }
+}
+
+// Guards against overloaded instances, against mass reconnection after the loss of one, and against queries that touch
+// more gatherers than needed, at the planned scale.
+TEST_CASE("load is capped and the loss of one of 90 instances moves few connections") {
+  const config::configuration config = MakeConfiguration(800, 4, 5);
+  const std::vector<placement_candidate> all = MakeCandidates(90, 5);
+  const placement before = ComputePlacement(config, all);
+  const double mean = 3200.0 / 450.0;
+  double worst_spread = 0;
+  for (const auto role : {&holders::primary, &holders::standby}) {
+    for (const auto& [id, load] : Loads(before, role))
+      worst_spread = std::max(worst_spread, static_cast<double>(load) / mean);
+  }
+  CHECK(worst_spread <= std::ceil(mean * 1.25) / mean);
+
+  std::size_t moved = 0;
+  constexpr std::size_t kRounds = 90;
+  std::size_t most = 0;
+  for (std::size_t lost = 0; lost < kRounds; ++lost) {
+    std::vector<placement_candidate> rest = all;
+    rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(lost * 5));
+    const placement after = ComputePlacement(config, rest);
+    std::size_t changed = 0;
+    for (std::size_t s = 0; s < 3200; ++s) {
+      changed += before.by_backend_server[s].primary != after.by_backend_server[s].primary ? 1 : 0;
+      changed += before.by_backend_server[s].standby != after.by_backend_server[s].standby ? 1 : 0;
+    }
+    moved += changed;
+    most = std::max(most, changed);
+  }
+  const double moved_fraction = static_cast<double>(moved) / (kRounds * 2.0 * 640.0);
+  WARN("max/mean " << worst_spread << ", moved in the data centre: mean " << moved_fraction << ", worst "
+                   << static_cast<double>(most) / 1280.0);
+  CHECK(moved_fraction <= 0.06);
+
+  std::set<base::instance_id> touched;
+  for (std::size_t s = 0; s < 800; ++s)
+    touched.insert(before.by_backend_server[s * 4].primary);
+  WARN("gatherers for one replica of each of 800 shards: " << touched.size());
+}
+
+// Guards against a placement that is too slow to be computed on every change of members.
+TEST_CASE("placement for 450 instances and 3,200 servers is fast") {
+  const config::configuration config = MakeConfiguration(800, 4, 5);
+  const std::vector<placement_candidate> all = MakeCandidates(90, 5);
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < 20; ++i)
+    REQUIRE(ComputePlacement(config, all).by_backend_server.size() == 3200);
+  const std::chrono::duration<double, std::milli> spent = std::chrono::steady_clock::now() - start;
+  WARN("placement: " << spent.count() / 20 << " ms");
+  // The bound leaves room for a busy machine; the target is 5 ms.
+  CHECK(spent.count() / 20 < 50);
+}
+
+// Guards against servers without holders when a data centre or a region has lost all its instances.
+TEST_CASE("servers without instances nearby are held from the region, then from anywhere") {
+  const config::configuration config = MakeConfiguration(12, 3, 5);
+  std::vector<placement_candidate> candidates = MakeCandidates(3, 5);
+  const auto remaining = GENERATE(as<std::string>(), "dc2", "dc3");
+  std::erase_if(candidates,
+                [&](const auto& c) { return c.data_centre.value != remaining && c.data_centre.value != "dc4"; });
+  const placement placed = ComputePlacement(config, candidates);
+  for (std::size_t s = 0; s < config.backend_servers.size(); ++s) {
+    INFO(config.backend_servers[s].id.value);
+    const holders& h = placed.by_backend_server[s];
+    CHECK_FALSE(h.standby.value.empty());
+    CHECK(h.primary != h.standby);
+    const auto holder =
+        std::find_if(candidates.begin(), candidates.end(), [&](const auto& c) { return c.id == h.primary; });
+    REQUIRE(holder != candidates.end());
+    const auto region = config::RegionOf(config, config.backend_servers[s].data_centre);
+    const bool region_has_instances = region.value == "east" || remaining == "dc3";
+    if (region_has_instances) CHECK(config::RegionOf(config, holder->data_centre) == region);
+  }
+  CHECK(ComputePlacement(config, {}).by_backend_server[0].primary.value.empty());
+}
+
+// Guards against work that is placed on instances which leave or are gone.
+TEST_CASE("candidates are this instance and members that are alive or suspect") {
+  member_table table;
+  table.self.ref.id = base::instance_id("self");
+  using peer::member_state;
+  for (const auto& [name, state] : {std::pair{"a", member_state::kAlive}, std::pair{"l", member_state::kLeaving},
+                                    std::pair{"s", member_state::kSuspect}, std::pair{"d", member_state::kDead}}) {
+    table.members[base::instance_id(name)].info.state = state;
+  }
+  CHECK(PlacementCandidates(table, false).size() == 3);
+  const auto without_self = PlacementCandidates(table, true);
+  REQUIRE(without_self.size() == 2);
+  CHECK(without_self[0].id.value == "a");
+  CHECK(without_self[1].id.value == "s");
+}
+
+}  // namespace
+}  // namespace limpetrouter::core::membership
