--- /dev/null
+++ b/tests/shell/settings_test.cc
@@ -0,0 +1,85 @@
+#include "shell/settings.h"
+
+#include <catch2/catch.hpp>
+
+namespace limpetrouter::shell {
+namespace {
+
+constexpr std::string_view kMinimal =
+    "[instance]\nname = k1\ndata_centre = kaohsiung\n[listen]\nhttp = 127.0.0.1:8101\npeer = 127.0.0.1:9101\n"
+    "[platform]\nconfiguration_url = http://127.0.0.1:7000/v1/configuration\n"
+    "instance_list_url = http://127.0.0.1:7001/v1/instances\n";
+
+// Guards against defaults that get lost, in particular the advertised addresses.
+TEST_CASE("minimal settings are complete") {
+  const settings_result read = ParseSettings(kMinimal, "k1.ini");
+  REQUIRE(read.has_value());
+  CHECK(read->name == "k1");
+  CHECK(read->advertise_http == "127.0.0.1:8101");
+  CHECK(read->advertise_peer == "127.0.0.1:9101");
+  CHECK(read->platform_timeout == std::chrono::seconds(2));
+  CHECK(read->level == log_level::kDecisions);
+}
+
+// Guards against a mistake that is accepted silently, or reported without its place or the allowed values.
+TEST_CASE("a faulty setting is reported with file, line, key and allowed values") {
+  struct row {
+    std::string appended;
+    std::string message;
+  };
+  const auto r = GENERATE(values<row>({
+      {"[log]\nlevel = debug\n", "k1.ini:11: log.level: \"debug\" is not a level (allowed: decisions, info, warning)"},
+      {"[log]\nlevle = info\n", "k1.ini:11: log.levle: unknown key (allowed: level)"},
+      {"[logs]\n", "k1.ini:10: logs: unknown section (allowed: advertise, instance, limits, listen, log, platform)"},
+      {"[log\n", "k1.ini:10: [log: section header without a closing bracket (allowed: [name])"},
+      {"timeout_ms = 2s\n", "k1.ini:10: platform.timeout_ms: \"2s\" is not an integer (allowed: 10 to 60000)"},
+      {"timeout_ms = 5\n", "k1.ini:10: platform.timeout_ms: 5 is out of range (allowed: 10 to 60000)"},
+      {"timeout_ms = 50\ntimeout_ms = 60\n", "k1.ini:11: platform.timeout_ms: already set in line 10"},
+      {"nonsense\n",
+       "k1.ini:10: nonsense: line without '=' (allowed: [section], key = value, or a comment after ';' or '#')"},
+      {"[advertise]\nhttp = localhost:80\n",
+       "k1.ini:11: advertise.http: \"localhost:80\" is not an address (allowed: IP:port with a port of 1 to 65535, "
+       "such "
+       "as 127.0.0.1:8101 or [::1]:8101)"},
+      {"[advertise]\npeer = 0.0.0.0:80\n",
+       "k1.ini:11: advertise.peer: \"0.0.0.0:80\" cannot be connected to (allowed: the IP:port by which others reach "
+       "this instance; it defaults to the listen address)"},
+  }));
+  const settings_result read = ParseSettings(std::string(kMinimal) + r.appended, "k1.ini");
+  REQUIRE_FALSE(read.has_value());
+  REQUIRE(read.error().size() == 1);
+  CHECK(ToString(read.error().front()) == r.message);
+}
+
+// Guards against a check that stops at the first fault, which costs an operator one restart per fault.
+TEST_CASE("all missing settings are reported at once") {
+  const settings_result read = ParseSettings("", "empty.ini");
+  REQUIRE_FALSE(read.has_value());
+  CHECK(read.error().size() == 6);
+  CHECK(ToString(read.error().front()) ==
+        "empty.ini: instance.name: missing (allowed: 1 to 64 letters, digits, '.', '_' or '-')");
+}
+
+// Guards against host names and open ranges reaching the socket calls.
+TEST_CASE("an address is an IP number and a port") {
+  struct row {
+    std::string text;
+    bool valid;
+  };
+  const auto r = GENERATE(values<row>({{"127.0.0.1:1", true},
+                                       {"[::1]:65535", true},
+                                       {"127.0.0.1:0", false},
+                                       {"127.0.0.1:65536", false},
+                                       {"127.0.0.1:", false},
+                                       {"127.0.0.1", false},
+                                       {"::1:80", false},
+                                       {"127.0.0.1:80 ", false},
+                                       {":80", false}}));
+  std::string ip;
+  std::uint16_t port = 0;
+  INFO(r.text);
+  CHECK(SplitAddress(r.text, ip, port) == r.valid);
+}
+
+}  // namespace
+}  // namespace limpetrouter::shell
