Add the scenario language, its fakes and a checker for each property

Cause: the eight invariants need proof under failure over the decision core, on a virtual clock. Ruled out: a cluster simulator; the fakes stand at the interfaces of the core and know nothing of its inside.

--- /dev/null
+++ b/tests/scenario/checkers.cc
@@ -0,0 +1,263 @@
+#include "tests/scenario/checkers.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <tuple>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "tests/scenario/data_set.h"
+
+namespace limpetrouter::tests::scenario {
+namespace {
+
+double Seconds(base::time_point at) { return std::chrono::duration<double>(at.time_since_epoch()).count() - 1; }
+
+/// Calls `check` for each answer that carries results.
+template <class Check>
+void ForEachSuccess(const world& world, Check check) {
+  for (const caller_request& request : world.record().requests) {
+    for (const received_answer& received : request.answers) {
+      if (received.answer.succeeded) check(request, received);
+    }
+  }
+}
+
+const core::config::snapshot* SnapshotOf(const world& world, const caller_request& request,
+                                         const peer::query_answer& answer) {
+  const auto config = world.ConfigurationAt(answer.revision.value);
+  if (config == nullptr) return nullptr;
+  return core::config::FindSnapshot(*config, request.request.collection, answer.snapshot);
+}
+
+/// Shards that the rows of an answer come from, or nothing if a row names another snapshot or comes twice.
+std::optional<std::set<std::uint32_t>> ShardsOfRows(const caller_request& request, const peer::query_answer& answer) {
+  std::set<std::uint32_t> shards;
+  for (const peer::result_row& row : answer.rows) {
+    const auto value = nlohmann::json::parse(row.value);
+    const std::uint32_t shard = value.at("shard");
+    const std::string expected = RowValue(answer.snapshot.value, shard, request.request.key, request.request.body);
+    if (row.key != RowKey(shard) || row.value != expected || !shards.insert(shard).second) return std::nullopt;
+  }
+  return shards;
+}
+
+using query_name = std::tuple<std::string, std::uint64_t, std::uint64_t>;
+
+/// Executions by the query that caused them.
+std::multimap<std::string, const execution*> ExecutionsByQuery(const trace& trace) {
+  std::multimap<std::string, const execution*> found;
+  for (const execution& run : trace.executions) {
+    found.emplace(fmt::format("{}/{}/{}", run.entry.id.value, run.entry.incarnation.value, run.query.value), &run);
+  }
+  return found;
+}
+
+const life_record* LifeAt(const trace& trace, const base::instance_id& id, base::time_point at) {
+  for (const life_record& life : trace.lives) {
+    if (life.instance.id == id && life.started <= at && at <= life.ended) return &life;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+void CheckOneSnapshot(const world& world, std::vector<violation>& out) {
+  ForEachSuccess(world, [&](const caller_request& request, const received_answer& received) {
+    const peer::query_answer& answer = received.answer;
+    const auto shards = ShardsOfRows(request, answer);
+    if (!shards.has_value()) {
+      out.push_back(
+          {"one snapshot", fmt::format("{}: rows of another snapshot, request or twice", request.request_id)});
+      return;
+    }
+    std::int64_t expected = 0;
+    for (const std::uint32_t shard : *shards) {
+      expected += TrueUnits(request.request.collection.value, answer.snapshot.value, shard);
+    }
+    std::int64_t total = 0;
+    for (const peer::result_total& sum : answer.totals)
+      total += sum.value;
+    if (total != expected) {
+      out.push_back({"one snapshot", fmt::format("{}: total {} is not {} of snapshot {}", request.request_id, total,
+                                                 expected, answer.snapshot.value)});
+    }
+  });
+}
+
+void CheckTrueCoverage(const world& world, std::vector<violation>& out) {
+  ForEachSuccess(world, [&](const caller_request& request, const received_answer& received) {
+    const peer::query_answer& answer = received.answer;
+    const core::config::snapshot* snapshot = SnapshotOf(world, request, answer);
+    if (snapshot == nullptr) {
+      out.push_back({"true coverage", fmt::format("{}: snapshot {} is not in revision {}", request.request_id,
+                                                  answer.snapshot.value, answer.revision.value)});
+      return;
+    }
+    const auto shards = ShardsOfRows(request, answer);
+    if (!shards.has_value()) return;
+    const auto config = world.ConfigurationAt(answer.revision.value);
+    const core::config::operation_rule* rule =
+        core::config::FindOperation(*config, request.request.collection, request.request.operation);
+    peer::coverage expected;
+    const std::size_t own = core::config::ShardOfKey(*snapshot, request.request.key);
+    for (std::size_t i = 0; i < snapshot->shards.size(); ++i) {
+      const core::config::shard& shard = snapshot->shards[i];
+      if (rule->scatter == core::config::scatter_mode::kShardOfKey && i != own) continue;
+      ++expected.shards_total;
+      expected.documents_total += shard.documents;
+      if (!shards->contains(shard.id.value)) continue;
+      ++expected.shards_answered;
+      expected.documents_answered += shard.documents;
+    }
+    if (!(answer.coverage == expected)) {
+      out.push_back({"true coverage", fmt::format("{}: states {}/{} documents, true are {}/{}", request.request_id,
+                                                  answer.coverage.documents_answered, answer.coverage.documents_total,
+                                                  expected.documents_answered, expected.documents_total)});
+    }
+    if (!rule->partial_useful && expected.documents_answered != expected.documents_total) {
+      out.push_back({"true coverage", fmt::format("{}: partial answer where none is of use", request.request_id)});
+    }
+  });
+}
+
+void CheckOwnAnswer(const world& world, std::vector<violation>& out) {
+  const trace& trace = world.record();
+  const base::time_point end = world.now();
+  for (const caller_request& request : trace.requests) {
+    for (const received_answer& received : request.answers) {
+      if (received.answer.request_id != request.request_id) {
+        out.push_back(
+            {"own answer", fmt::format("{}: got the answer to {}", request.request_id, received.answer.request_id)});
+      }
+    }
+    // Each send is answered, unless its instance died or was frozen or cut off meanwhile.
+    if (request.sent_to.empty() || !request.answers.empty() || request.lost_connections > 0) continue;
+    const base::time_point due = request.sent + request.deadline + kAnswerSlack;
+    if (due > end || request.connect_failures > 0) continue;
+    const bool out_of_service = std::any_of(trace.outages.begin(), trace.outages.end(), [&](const outage_record& o) {
+      return o.instance == request.sent_to.front() && o.from <= due && request.sent <= o.to + kAnswerSlack;
+    });
+    if (out_of_service) continue;
+    out.push_back({"own answer", fmt::format("{}: sent at {:.3f} s to {}, no answer", request.request_id,
+                                             Seconds(request.sent), request.sent_to.front().value)});
+  }
+}
+
+void CheckNotRunIsTrue(const world& world, std::vector<violation>& out) {
+  const trace& trace = world.record();
+  const auto by_query = ExecutionsByQuery(trace);
+  std::multimap<std::string, const execution*> by_key;
+  for (const execution& run : trace.executions) {
+    if (!run.repeatable) by_key.emplace(run.key, &run);
+  }
+  for (const caller_request& request : trace.requests) {
+    for (const received_answer& received : request.answers) {
+      const peer::query_answer& answer = received.answer;
+      if (answer.succeeded || answer.executed != base::executed_state::kNo) continue;
+      const bool ran =
+          by_query.contains(answer.query_id) || (!request.repeatable && by_key.contains(request.request.key));
+      if (ran) {
+        out.push_back({"not run is true", fmt::format("{}: {} says not run, but it ran", request.request_id,
+                                                      base::ToString(answer.failure))});
+      }
+    }
+  }
+}
+
+void CheckAtMostOnce(const world& world, std::vector<violation>& out) {
+  std::map<std::string, int> runs;
+  for (const execution& run : world.record().executions) {
+    if (!run.repeatable) ++runs[run.key];
+  }
+  for (const auto& [key, count] : runs) {
+    if (count > 1) out.push_back({"at most once", fmt::format("{} ran {} times", key, count)});
+  }
+}
+
+void CheckDrains(const world& world, std::vector<violation>& out) {
+  for (const drain_record& drain : world.record().drains) {
+    std::size_t late = 0;
+    for (const execution& run : world.record().executions) {
+      const bool in_drain = run.started >= drain.at + kDrainBound && run.started < drain.undone;
+      if (run.backend_server == drain.backend_server && in_drain) ++late;
+    }
+    if (late > 0) {
+      out.push_back(
+          {"drain", fmt::format("{} started {} calls later than 2 s after its drain", drain.backend_server, late)});
+    }
+  }
+}
+
+void CheckShutdown(const world& world, std::vector<violation>& out) {
+  const trace& trace = world.record();
+  for (const caller_request& request : trace.requests) {
+    for (std::size_t i = 0; i < request.sent_to.size(); ++i) {
+      const life_record* life = LifeAt(trace, request.sent_to[i], request.sent);
+      if (life == nullptr || life->killed || life->ended == base::time_point::max()) continue;
+      if (i == 0 && (request.lost_connections > 0 || request.connect_failures > 0)) {
+        out.push_back({"shutdown", fmt::format("{}: cut off by the shutdown of {} at {:.3f} s", request.request_id,
+                                               life->instance.id.value, Seconds(life->ended))});
+      }
+    }
+  }
+}
+
+void CheckConfiguration(const world& world, std::vector<violation>& out) {
+  const trace& trace = world.record();
+  std::map<base::instance_ref, std::vector<const revision_change*>> by_instance;
+  std::map<std::uint64_t, std::uint64_t> digests;
+  for (const revision_change& change : trace.revisions) {
+    auto& changes = by_instance[change.instance];
+    if (!changes.empty() && change.revision < changes.back()->revision) {
+      out.push_back({"configuration", fmt::format("{} went back from revision {} to {}", change.instance.id.value,
+                                                  changes.back()->revision, change.revision)});
+    }
+    changes.push_back(&change);
+    const auto [it, inserted] = digests.emplace(change.revision, change.digest);
+    if (!inserted && it->second != change.digest) {
+      out.push_back({"configuration", fmt::format("revision {} has two contents", change.revision)});
+    }
+  }
+  // Accepted by one, in force at all within the bound.
+  std::map<std::uint64_t, base::time_point> accepted;
+  for (const revision_change& change : trace.revisions)
+    accepted.try_emplace(change.revision, change.at);
+  for (const auto& [revision, at] : accepted) {
+    const base::time_point due = at + kConfigurationBound;
+    if (revision == 0 || due > world.now()) continue;
+    for (const life_record& life : trace.lives) {
+      if (life.started > at || life.ended < due) continue;
+      const bool excused = std::any_of(trace.outages.begin(), trace.outages.end(), [&](const outage_record& o) {
+        return o.instance == life.instance.id && o.from <= due && at <= o.to + kConfigurationBound;
+      });
+      if (excused) continue;
+      const auto& changes = by_instance[life.instance];
+      const bool in_force = std::any_of(changes.begin(), changes.end(), [&, r = revision](const revision_change* c) {
+        return c->revision >= r && c->at <= due;
+      });
+      if (!in_force) {
+        out.push_back({"configuration", fmt::format("revision {} accepted at {:.3f} s is not in force at {} after 4 s",
+                                                    revision, Seconds(at), life.instance.id.value)});
+      }
+    }
+  }
+}
+
+std::vector<violation> CheckAll(const world& world) {
+  std::vector<violation> out;
+  CheckOneSnapshot(world, out);
+  CheckTrueCoverage(world, out);
+  CheckOwnAnswer(world, out);
+  CheckNotRunIsTrue(world, out);
+  CheckAtMostOnce(world, out);
+  CheckDrains(world, out);
+  CheckShutdown(world, out);
+  CheckConfiguration(world, out);
+  return out;
+}
+
+}  // namespace limpetrouter::tests::scenario
--- /dev/null
+++ b/tests/scenario/script.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/base/error_kind.h"
+#include "tests/scenario/checkers.h"
+#include "tests/scenario/world.h"
+
+namespace limpetrouter::tests::scenario {
+
+/// Result of one run of a script.
+struct script_outcome {
+  std::string title;
+  std::vector<violation> violations;
+  /// Expectations that were not met, with the measured figure.
+  std::vector<std::string> unmet;
+  /// Measured figures of all expectations, met or not.
+  std::vector<std::string> figures;
+  std::unique_ptr<world> final_world;
+
+  bool passed() const { return violations.empty() && unmet.empty(); }
+};
+
+/// Runs a script in the test language of docs/scenarios.md. `seed` replaces the script's own if it is not 0. Errors
+/// name the line.
+core::base::result<script_outcome> RunScript(const std::string& text, std::uint64_t seed, bool keep_log);
+
+}  // namespace limpetrouter::tests::scenario
