--- a/tests/scenario/checkers.cc
+++ b/tests/scenario/checkers.cc
@@ -2,9 +2,8 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
-#include <tuple>
-#include <utility>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -45,8 +44,6 @@
   return shards;
 }
 
-using query_name = std::tuple<std::string, std::uint64_t, std::uint64_t>;
-
 /// Executions by the query that caused them.
 std::multimap<std::string, const execution*> ExecutionsByQuery(const trace& trace) {
   std::multimap<std::string, const execution*> found;
@@ -65,8 +62,10 @@
 
 }  // namespace
 
-void CheckOneSnapshot(const world& world, std::vector<violation>& out) {
+property_report CheckOneSnapshot(const world& world) {
+  property_report report{"one snapshot", 0, {}};
   ForEachSuccess(world, [&](const caller_request& request, const received_answer& received) {
+    ++report.checked;
     const peer::query_answer& answer = received.answer;
     const auto shards = ShardsOfRows(request, answer);
     if (!shards.has_value()) {
@@ -82,19 +81,22 @@
     for (const peer::result_total& sum : answer.totals)
       total += sum.value;
     if (total != expected) {
-      out.push_back({"one snapshot", fmt::format("{}: total {} is not {} of snapshot {}", request.request_id, total,
-                                                 expected, answer.snapshot.value)});
+      report.violations.push_back(fmt::format("{}: total {} is not {} of snapshot {}", request.request_id, total,
+                                              expected, answer.snapshot.value));
     }
   });
+  return report;
 }
 
-void CheckTrueCoverage(const world& world, std::vector<violation>& out) {
+property_report CheckTrueCoverage(const world& world) {
+  property_report report{"true coverage", 0, {}};
   ForEachSuccess(world, [&](const caller_request& request, const received_answer& received) {
+    ++report.checked;
     const peer::query_answer& answer = received.answer;
     const core::config::snapshot* snapshot = SnapshotOf(world, request, answer);
     if (snapshot == nullptr) {
-      out.push_back({"true coverage", fmt::format("{}: snapshot {} is not in revision {}", request.request_id,
-                                                  answer.snapshot.value, answer.revision.value)});
+      report.violations.push_back(fmt::format("{}: snapshot {} is not in revision {}", request.request_id,
+                                              answer.snapshot.value, answer.revision.value));
       return;
     }
     const auto shards = ShardsOfRows(request, answer);
@@ -114,20 +116,23 @@
       expected.documents_answered += shard.documents;
     }
     if (!(answer.coverage == expected)) {
-      out.push_back({"true coverage", fmt::format("{}: states {}/{} documents, true are {}/{}", request.request_id,
-                                                  answer.coverage.documents_answered, answer.coverage.documents_total,
-                                                  expected.documents_answered, expected.documents_total)});
+      report.violations.push_back(fmt::format("{}: states {}/{} documents, true are {}/{}", request.request_id,
+                                              answer.coverage.documents_answered, answer.coverage.documents_total,
+                                              expected.documents_answered, expected.documents_total));
     }
     if (!rule->partial_useful && expected.documents_answered != expected.documents_total) {
-      out.push_back({"true coverage", fmt::format("{}: partial answer where none is of use", request.request_id)});
+      report.violations.push_back(fmt::format("{}: partial answer where none is of use", request.request_id));
     }
   });
+  return report;
 }
 
-void CheckOwnAnswer(const world& world, std::vector<violation>& out) {
+property_report CheckOwnAnswer(const world& world) {
+  property_report report{"own answer", 0, {}};
   const trace& trace = world.record();
   const base::time_point end = world.now();
   for (const caller_request& request : trace.requests) {
+    ++report.checked;
     for (const received_answer& received : request.answers) {
       if (received.answer.request_id != request.request_id) {
         out.push_back(
@@ -142,12 +147,14 @@
       return o.instance == request.sent_to.front() && o.from <= due && request.sent <= o.to + kAnswerSlack;
     });
     if (out_of_service) continue;
-    out.push_back({"own answer", fmt::format("{}: sent at {:.3f} s to {}, no answer", request.request_id,
-                                             Seconds(request.sent), request.sent_to.front().value)});
+    report.violations.push_back(fmt::format("{}: sent at {:.3f} s to {}, no answer", request.request_id,
+                                            Seconds(request.sent), request.sent_to.front().value));
   }
+  return report;
 }
 
-void CheckNotRunIsTrue(const world& world, std::vector<violation>& out) {
+property_report CheckNotRunIsTrue(const world& world) {
+  property_report report{"not run is true", 0, {}};
   const trace& trace = world.record();
   const auto by_query = ExecutionsByQuery(trace);
   std::multimap<std::string, const execution*> by_key;
@@ -158,28 +165,35 @@
     for (const received_answer& received : request.answers) {
       const peer::query_answer& answer = received.answer;
       if (answer.succeeded || answer.executed != base::executed_state::kNo) continue;
+      ++report.checked;
       const bool ran =
           by_query.contains(answer.query_id) || (!request.repeatable && by_key.contains(request.request.key));
       if (ran) {
-        out.push_back({"not run is true", fmt::format("{}: {} says not run, but it ran", request.request_id,
-                                                      base::ToString(answer.failure))});
+        report.violations.push_back(
+            fmt::format("{}: {} says not run, but it ran", request.request_id, base::ToString(answer.failure)));
       }
     }
   }
+  return report;
 }
 
-void CheckAtMostOnce(const world& world, std::vector<violation>& out) {
+property_report CheckAtMostOnce(const world& world) {
+  property_report report{"at most once", 0, {}};
   std::map<std::string, int> runs;
   for (const execution& run : world.record().executions) {
     if (!run.repeatable) ++runs[run.key];
   }
   for (const auto& [key, count] : runs) {
-    if (count > 1) out.push_back({"at most once", fmt::format("{} ran {} times", key, count)});
+    ++report.checked;
+    if (count > 1) report.violations.push_back(fmt::format("{} ran {} times", key, count));
   }
+  return report;
 }
 
-void CheckDrains(const world& world, std::vector<violation>& out) {
+property_report CheckDrains(const world& world) {
+  property_report report{"drain", 0, {}};
   for (const drain_record& drain : world.record().drains) {
+    ++report.checked;
     std::size_t late = 0;
     for (const execution& run : world.record().executions) {
       const bool in_drain = run.started >= drain.at + kDrainBound && run.started < drain.undone;
@@ -190,36 +204,41 @@
           {"drain", fmt::format("{} started {} calls later than 2 s after its drain", drain.backend_server, late)});
     }
   }
+  return report;
 }
 
-void CheckShutdown(const world& world, std::vector<violation>& out) {
+property_report CheckShutdown(const world& world) {
+  property_report report{"shutdown", 0, {}};
   const trace& trace = world.record();
   for (const caller_request& request : trace.requests) {
     for (std::size_t i = 0; i < request.sent_to.size(); ++i) {
       const life_record* life = LifeAt(trace, request.sent_to[i], request.sent);
       if (life == nullptr || life->killed || life->ended == base::time_point::max()) continue;
+      ++report.checked;
       if (i == 0 && (request.lost_connections > 0 || request.connect_failures > 0)) {
-        out.push_back({"shutdown", fmt::format("{}: cut off by the shutdown of {} at {:.3f} s", request.request_id,
-                                               life->instance.id.value, Seconds(life->ended))});
+        report.violations.push_back(fmt::format("{}: cut off by the shutdown of {} at {:.3f} s", request.request_id,
+                                                life->instance.id.value, Seconds(life->ended)));
       }
     }
   }
+  return report;
 }
 
-void CheckConfiguration(const world& world, std::vector<violation>& out) {
+property_report CheckConfiguration(const world& world) {
+  property_report report{"configuration", 0, {}};
   const trace& trace = world.record();
   std::map<base::instance_ref, std::vector<const revision_change*>> by_instance;
   std::map<std::uint64_t, std::uint64_t> digests;
   for (const revision_change& change : trace.revisions) {
     auto& changes = by_instance[change.instance];
     if (!changes.empty() && change.revision < changes.back()->revision) {
-      out.push_back({"configuration", fmt::format("{} went back from revision {} to {}", change.instance.id.value,
-                                                  changes.back()->revision, change.revision)});
+      report.violations.push_back(fmt::format("{} went back from revision {} to {}", change.instance.id.value,
+                                              changes.back()->revision, change.revision));
     }
     changes.push_back(&change);
     const auto [it, inserted] = digests.emplace(change.revision, change.digest);
     if (!inserted && it->second != change.digest) {
-      out.push_back({"configuration", fmt::format("revision {} has two contents", change.revision)});
+      report.violations.push_back(fmt::format("revision {} has two contents", change.revision));
     }
   }
   // Accepted by one, in force at all within the bound.
@@ -235,29 +254,23 @@
         return o.instance == life.instance.id && o.from <= due && at <= o.to + kConfigurationBound;
       });
       if (excused) continue;
+      ++report.checked;
       const auto& changes = by_instance[life.instance];
       const bool in_force = std::any_of(changes.begin(), changes.end(), [&, r = revision](const revision_change* c) {
         return c->revision >= r && c->at <= due;
       });
       if (!in_force) {
-        out.push_back({"configuration", fmt::format("revision {} accepted at {:.3f} s is not in force at {} after 4 s",
-                                                    revision, Seconds(at), life.instance.id.value)});
+        report.violations.push_back(fmt::format("revision {} accepted at {:.3f} s is not in force at {} after 4 s",
+                                                revision, Seconds(at), life.instance.id.value));
       }
     }
   }
+  return report;
 }
 
-std::vector<violation> CheckAll(const world& world) {
-  std::vector<violation> out;
-  CheckOneSnapshot(world, out);
-  CheckTrueCoverage(world, out);
-  CheckOwnAnswer(world, out);
-  CheckNotRunIsTrue(world, out);
-  CheckAtMostOnce(world, out);
-  CheckDrains(world, out);
-  CheckShutdown(world, out);
-  CheckConfiguration(world, out);
-  return out;
+std::vector<property_report> CheckAll(const world& world) {
+  return {CheckOneSnapshot(world), CheckTrueCoverage(world), CheckOwnAnswer(world), CheckNotRunIsTrue(world),
+          CheckAtMostOnce(world),  CheckDrains(world),       CheckShutdown(world),  CheckConfiguration(world)};
 }
 
 }  // namespace limpetrouter::tests::scenario
--- a/tests/scenario/checkers.h
+++ b/tests/scenario/checkers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -7,9 +8,12 @@
 
 namespace limpetrouter::tests::scenario {
 
-struct violation {
+/// Result of one checker.
+struct property_report {
   std::string property;
-  std::string what;
+  /// Answers, executions or other items that the property was tested on. 0 means that the run proves nothing about it.
+  std::uint64_t checked = 0;
+  std::vector<std::string> violations;
 };
 
 /// Bounds of the stated targets.
@@ -19,16 +23,16 @@
 inline constexpr base::duration kAnswerSlack = std::chrono::milliseconds(50);
 
 // One checker for each property that must always hold. Each runs over the whole trace.
-void CheckOneSnapshot(const world& world, std::vector<violation>& out);
-void CheckTrueCoverage(const world& world, std::vector<violation>& out);
-void CheckOwnAnswer(const world& world, std::vector<violation>& out);
-void CheckNotRunIsTrue(const world& world, std::vector<violation>& out);
-void CheckAtMostOnce(const world& world, std::vector<violation>& out);
-void CheckDrains(const world& world, std::vector<violation>& out);
-void CheckShutdown(const world& world, std::vector<violation>& out);
-void CheckConfiguration(const world& world, std::vector<violation>& out);
+property_report CheckOneSnapshot(const world& world);
+property_report CheckTrueCoverage(const world& world);
+property_report CheckOwnAnswer(const world& world);
+property_report CheckNotRunIsTrue(const world& world);
+property_report CheckAtMostOnce(const world& world);
+property_report CheckDrains(const world& world);
+property_report CheckShutdown(const world& world);
+property_report CheckConfiguration(const world& world);
 
 /// Runs all of them.
-std::vector<violation> CheckAll(const world& world);
+std::vector<property_report> CheckAll(const world& world);
 
 }  // namespace limpetrouter::tests::scenario
--- a/tests/scenario/script.cc
+++ b/tests/scenario/script.cc
@@ -1,5 +1,6 @@
 #include "tests/scenario/script.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <functional>
@@ -70,6 +71,7 @@
 /// A script while it is read and run.
 struct script {
   std::string title;
+  std::string failure;
   std::uint64_t seed = 1;
   std::string deployment_name = "small";
   std::uint32_t instances = 3;
@@ -271,6 +273,8 @@
   const std::string& verb = line[0];
   if (verb == "title") {
     script.title = text.substr(text.find("title") + 6);
+  } else if (verb == "failure") {
+    script.failure = text.substr(text.find("failure") + 8);
   } else if (verb == "seed") {
     script.seed = static_cast<std::uint64_t>(ParseNumber(Word(line, 1, "seed")));
   } else if (verb == "deployment") {
@@ -345,7 +349,8 @@
     world.At(when, [&world, action = action] { Actions().at(action[0])(world, action); });
   }
   world.RunUntil(script.length);
-  outcome.violations = CheckAll(world);
+  outcome.failure = script.failure;
+  outcome.properties = CheckAll(world);
   for (const expectation& expected : script.expectations) {
     const double figure = FigureOf(world, expected.line);
     const std::string shown = fmt::format("{}: measured {:.4g}", expected.text, figure);
@@ -357,6 +362,12 @@
 
 }  // namespace
 
+bool script_outcome::passed() const {
+  const bool holds = std::all_of(properties.begin(), properties.end(),
+                                 [](const property_report& report) { return report.violations.empty(); });
+  return holds && unmet.empty();
+}
+
 core::base::result<script_outcome> RunScript(const std::string& text, std::uint64_t seed, bool keep_log) {
   try {
     return Run(ParseScript(text), seed, keep_log);
