--- a/tests/scenario/checkers.cc
+++ b/tests/scenario/checkers.cc
@@ -69,8 +69,7 @@
     const peer::query_answer& answer = received.answer;
     const auto shards = ShardsOfRows(request, answer);
     if (!shards.has_value()) {
-      out.push_back(
-          {"one snapshot", fmt::format("{}: rows of another snapshot, request or twice", request.request_id)});
+      report.violations.push_back(fmt::format("{}: rows of another snapshot, request or twice", request.request_id));
       return;
     }
     std::int64_t expected = 0;
@@ -135,8 +134,8 @@
     ++report.checked;
     for (const received_answer& received : request.answers) {
       if (received.answer.request_id != request.request_id) {
-        out.push_back(
-            {"own answer", fmt::format("{}: got the answer to {}", request.request_id, received.answer.request_id)});
+        report.violations.push_back(
+            fmt::format("{}: got the answer to {}", request.request_id, received.answer.request_id));
       }
     }
     // Each send is answered, unless its instance died or was frozen or cut off meanwhile.
@@ -200,8 +199,8 @@
       if (run.backend_server == drain.backend_server && in_drain) ++late;
     }
     if (late > 0) {
-      out.push_back(
-          {"drain", fmt::format("{} started {} calls later than 2 s after its drain", drain.backend_server, late)});
+      report.violations.push_back(
+          fmt::format("{} started {} calls later than 2 s after its drain", drain.backend_server, late));
     }
   }
   return report;
