--- a/core/config/configuration.h
+++ b/core/config/configuration.h
@@ -75,6 +75,10 @@
   base::duration permit_validity = std::chrono::seconds(30);
   base::duration permit_retention = std::chrono::minutes(10);
   base::duration withhold_time = std::chrono::minutes(10);
+  /// Policies that an operator can switch off, and a measurement too.
+  bool admission = true;
+  bool ejection = true;
+  bool cold_start_ramp = true;
 };
 
 struct shard {
