--- a/core/config/parse.h
+++ b/core/config/parse.h
@@ -32,4 +32,10 @@
 /// Parses one value as JSON. `name` is used in error messages.
 base::result<nlohmann::json> ParseValue(std::string_view name, std::string_view text);
 
+/// Same, with a size limit of its own. Refuses duplicate names in an object and deep nesting.
+base::result<nlohmann::json> ParseJson(std::string_view name, std::string_view text, std::size_t max_bytes);
+
+/// Decodes the three texts into one document, without validation.
+base::result<nlohmann::json> ParseDocument(const configuration_source& source);
+
 }  // namespace limpetrouter::core::config
--- a/core/config/store.h
+++ b/core/config/store.h
@@ -31,6 +31,8 @@
 struct configuration_store {
   configuration_ptr in_force;
   nlohmann::json document;
+  /// Size of the canonical text of `document`.
+  std::size_t document_bytes = 0;
   std::deque<revision_patch> patches;
   std::optional<refused_revision> refused;
   std::uint64_t conflicts = 0;
