Add the measurement of policies

Cause: each policy must stand on a measurement against its absence, with bounds from the stated targets.

--- a/bench/policy_run.cc
+++ b/bench/policy_run.cc
@@ -33,8 +33,8 @@
 }
 
 double CapacityOf(const nlohmann::json& document, const policy_run& run) {
-  const double mean_seconds = static_cast<double>(run.median.count()) / 1e6 * std::exp(kSigma * kSigma / 2) *
-                              (1 + run.straggler_share * (kStragglerFactor - 1));
+  // Without stragglers, so that the offered load is the same with and without them.
+  const double mean_seconds = static_cast<double>(run.median.count()) / 1e6 * std::exp(kSigma * kSigma / 2);
   return SlotsPerShard(document, run.collection) / mean_seconds;
 }
 
--- a/core/config/parse_rules.cc
+++ b/core/config/parse_rules.cc
@@ -78,6 +78,9 @@
   made.permit_validity = Milliseconds(reader, "permit_validity_ms", 100, kDayMs, made.permit_validity);
   made.permit_retention = Milliseconds(reader, "permit_retention_ms", 100, kDayMs, made.permit_retention);
   made.withhold_time = Milliseconds(reader, "withhold_ms", 100, kDayMs, made.withhold_time);
+  made.admission = reader.Bool("admission", made.admission);
+  made.ejection = reader.Bool("ejection", made.ejection);
+  made.cold_start_ramp = reader.Bool("cold_start_ramp", made.cold_start_ramp);
   reader.Finish();
   return made;
 }
