Add the entry role and its routing policies

Routing: latency windows, backend server statistics, power of two choices, ejection, budgets and the admission limit as functions over plain structs.

--- /dev/null
+++ b/core/entry/attempts.cc
@@ -0,0 +1,270 @@
+#include "core/entry/attempts.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "core/entry/holders.h"
+#include "core/entry/retry.h"
+#include "core/routing/ejection.h"
+
+namespace limpetrouter::core::entry {
+namespace {
+
+using base::error_kind;
+using base::executed_state;
+
+/// Samples that make the quantiles of one service better than those of its whole collection.
+constexpr std::uint32_t kServiceSamples = 200;
+/// Without so many samples there is no threshold.
+constexpr std::uint32_t kCollectionSamples = 30;
+constexpr base::duration kNoHolderDelay = std::chrono::milliseconds(50);
+
+const char* NameOf(attempt_kind kind) {
+  switch (kind) {
+    case attempt_kind::kFirst:
+      return "route";
+    case attempt_kind::kCanary:
+      return "canary";
+    case attempt_kind::kHedge:
+      return "hedge";
+    case attempt_kind::kRetry:
+      return "retry";
+  }
+  return "route";
+}
+
+peer::gather_request MakeRequest(const instance::context& ctx, const query& query) {
+  peer::gather_request request;
+  request.query = query.sequence;
+  request.collection = query.request.collection;
+  request.operation = query.request.operation;
+  request.snapshot = query.snapshot->id;
+  request.key = query.request.key;
+  request.body = query.request.body;
+  request.urgent = query.rule->urgent;
+  request.repeatable = query.rule->repeatable;
+  request.proven = query.proven;
+  request.fingerprint = query.fingerprint;
+  base::duration remaining = query.deadline - ctx.now;
+  if (!query.rule->repeatable) {
+    // The gatherer's word that the call did not run should arrive before the deadline of the query.
+    remaining -= std::min<base::duration>(remaining / 10, std::chrono::milliseconds(10));
+  }
+  request.remaining_us = remaining.count();
+  return request;
+}
+
+void RecordDecision(entry_tables& tables, instance::context& ctx, const query& query, const attempt& made,
+                    const char* reason) {
+  decision line;
+  line.name = NameOf(made.kind);
+  line.snapshot = query.snapshot->id.value;
+  line.shard = query.targets[made.shard]->id.value;
+  line.backend_server = query.config->backend_servers[made.server].id.value;
+  line.gatherer = made.gatherer.value;
+  line.reason = reason;
+  // First calls are logged once per gatherer; there are too many of them for a line each.
+  Decide(tables.explanations, ctx, query.sequence.value, std::move(line), made.kind != attempt_kind::kFirst);
+}
+
+/// Registers an attempt and returns its sequence number.
+std::uint64_t BeginAttempt(entry_tables& tables, instance::context& ctx, query& query, const planned_call& call,
+                           std::uint32_t server, const base::instance_id& gatherer) {
+  attempt made;
+  made.query = query.sequence.value;
+  made.shard = call.shard;
+  made.server = server;
+  made.statistics = query.view->servers[server];
+  made.kind = call.kind;
+  made.gatherer = gatherer;
+  const membership::member* member = membership::FindMember(ctx.members, gatherer);
+  if (member != nullptr) made.gatherer_incarnation = member->info.member.incarnation;
+  made.sent = ctx.now;
+  const std::uint64_t sequence = tables.queries.next_attempt++;
+  routing::RecordCallStart(tables.statistics, made.statistics);
+  shard_task& task = query.shards[call.shard];
+  task.state = shard_state::kOpen;
+  ++task.attempts;
+  task.running_attempts[task.running++] = sequence;
+  task.tried |= std::uint64_t{1} << (call.replica % 64);
+  task.last_sent = ctx.now;
+  task.retry_at.reset();
+  RecordDecision(tables, ctx, query, made, call.reason);
+  tables.queries.attempts.emplace(sequence, std::move(made));
+  return sequence;
+}
+
+void LogRoute(instance::context& ctx, const query& query, const base::instance_id& gatherer,
+              const peer::gather_request& request) {
+  std::string calls;
+  for (const peer::gather_item& item : request.items) {
+    fmt::format_to(std::back_inserter(calls), "{}{}={}", calls.empty() ? "" : ",", item.shard.value,
+                   item.backend_server.value);
+  }
+  instance::LogDecision(ctx, "route",
+                        {{"query", std::to_string(query.sequence.value)},
+                         {"snapshot", std::to_string(query.snapshot->id.value)},
+                         {"gatherer", gatherer.value},
+                         {"calls", std::move(calls)}});
+}
+
+void CountFirstCalls(entry_tables& tables, const instance::context& ctx, const query& query,
+                     const std::vector<planned_call>& calls) {
+  const auto first = std::count_if(calls.begin(), calls.end(), [](const planned_call& call) {
+    return call.kind == attempt_kind::kFirst || call.kind == attempt_kind::kCanary;
+  });
+  if (first == 0) return;
+  collection_state& collection = tables.collections[query.request.collection];
+  routing::CountCalls(collection.hedges, static_cast<std::uint64_t>(first), ctx.now);
+  routing::CountCalls(collection.retries, static_cast<std::uint64_t>(first), ctx.now);
+}
+
+/// Ends an attempt that its shard has no more use for, and adds it to the cancellations of its gatherer.
+void Cancel(entry_tables& tables, const instance::context& ctx, query& query, std::uint64_t sequence, bool lost,
+            std::map<base::instance_id, peer::gather_cancel>& messages) {
+  const attempt& running = tables.queries.attempts.at(sequence);
+  const base::duration elapsed = ctx.now - running.sent;
+  const base::duration threshold = HedgeThreshold(tables, query, running.shard, ctx.now);
+  // The true latency is not known; dropping the sample would make the service look faster than it is.
+  const bool slow = lost && threshold > base::duration::zero() && elapsed >= threshold;
+  if (slow && running.kind != attempt_kind::kHedge) {
+    routing::AddLatency(tables.statistics.services[ServiceOf(tables, query, running.shard)].latency, elapsed, ctx.now);
+    routing::AddLatency(tables.collections[query.request.collection].latency, elapsed, ctx.now);
+  }
+  peer::gather_cancel& message = messages[running.gatherer];
+  message.query = query.sequence;
+  message.attempts.emplace_back(sequence);
+  const bool counts = slow && !running.overdue;
+  EndAttempt(tables, ctx, query, sequence, counts ? routing::call_outcome::kSlow : routing::call_outcome::kNeutral,
+             executed_state::kUnknown);
+}
+
+void SendCancels(instance::context& ctx, std::map<base::instance_id, peer::gather_cancel>& messages) {
+  for (auto& [gatherer, message] : messages)
+    instance::SendToPeer(ctx, gatherer, std::move(message));
+}
+
+void CancelShard(entry_tables& tables, instance::context& ctx, query& query, std::uint32_t shard, bool lost,
+                 std::map<base::instance_id, peer::gather_cancel>& messages) {
+  shard_task& task = query.shards[shard];
+  while (task.running > 0) {
+    const std::uint64_t sequence = task.running_attempts[task.running - 1];
+    const std::uint32_t statistics = tables.queries.attempts.at(sequence).statistics;
+    Cancel(tables, ctx, query, sequence, lost, messages);
+    if (lost) JudgeServer(tables, ctx, statistics);
+  }
+}
+
+}  // namespace
+
+void SendCalls(entry_tables& tables, instance::context& ctx, query& query, const std::vector<planned_call>& calls) {
+  CountFirstCalls(tables, ctx, query, calls);
+  gatherer_cache cache;
+  std::map<base::instance_id, peer::gather_request> messages;
+  for (const planned_call& call : calls) {
+    const std::uint32_t server = query.targets[call.shard]->replicas[call.replica];
+    const holder_choice holder = ChooseHolder(tables, ctx, query, server, cache);
+    if (holder.gatherer == nullptr) {
+      // Counts as an attempt, so that a shard without holders is given up in the end.
+      ++query.shards[call.shard].attempts;
+      query.shards[call.shard].state = shard_state::kOpen;
+      ScheduleRetry(query, call.shard, ctx.now + kNoHolderDelay, true);
+      continue;
+    }
+    const std::uint64_t sequence = BeginAttempt(tables, ctx, query, call, server, *holder.gatherer);
+    auto [message, is_new] = messages.try_emplace(*holder.gatherer);
+    if (is_new) message->second = MakeRequest(ctx, query);
+    peer::gather_item item;
+    item.attempt = base::attempt_sequence(sequence);
+    item.shard = query.targets[call.shard]->id;
+    item.backend_server = query.config->backend_servers[server].id;
+    item.primary_unusable = holder.primary_unusable;
+    message->second.items.push_back(std::move(item));
+  }
+  query.hedge_check_at = ctx.now;
+  for (auto& [gatherer, message] : messages) {
+    LogRoute(ctx, query, gatherer, message);
+    std::vector<std::uint64_t> sequences;
+    for (const peer::gather_item& item : message.items)
+      sequences.push_back(item.attempt.value);
+    if (instance::SendToPeer(ctx, gatherer, std::move(message))) continue;
+    CountUnreachable(tables, gatherer, ctx.now);
+    for (const std::uint64_t sequence : sequences) {
+      const attempt lost =
+          EndAttempt(tables, ctx, query, sequence, routing::call_outcome::kNeutral, executed_state::kNo);
+      if (query.shards[lost.shard].running == 0) ScheduleRetry(query, lost.shard, ctx.now + kNoHolderDelay, true);
+    }
+  }
+}
+
+attempt EndAttempt(entry_tables& tables, const instance::context& ctx, query& query, std::uint64_t sequence,
+                   routing::call_outcome outcome, executed_state executed) {
+  const auto found = tables.queries.attempts.find(sequence);
+  attempt ended = std::move(found->second);
+  tables.queries.attempts.erase(found);
+  shard_task& task = query.shards[ended.shard];
+  const auto end = task.running_attempts.begin() + task.running;
+  const auto position = std::find(task.running_attempts.begin(), end, sequence);
+  if (position != end) {
+    std::move(position + 1, end, position);
+    --task.running;
+  }
+  query.executed = base::CombineExecuted(query.executed, executed);
+  routing::RecordCallEnd(tables.statistics, ended.statistics, outcome, ctx.now - ended.sent, true, ctx.now);
+  return ended;
+}
+
+void CancelLosers(entry_tables& tables, instance::context& ctx, query& query, std::uint32_t shard) {
+  if (query.shards[shard].running == 0) return;
+  std::map<base::instance_id, peer::gather_cancel> messages;
+  CancelShard(tables, ctx, query, shard, true, messages);
+  SendCancels(ctx, messages);
+}
+
+void CancelAll(entry_tables& tables, instance::context& ctx, query& query) {
+  std::map<base::instance_id, peer::gather_cancel> messages;
+  for (std::uint32_t shard = 0; shard < query.shards.size(); ++shard) {
+    CancelShard(tables, ctx, query, shard, false, messages);
+  }
+  SendCancels(ctx, messages);
+}
+
+routing::latency_window& LatencyOf(entry_tables& tables, const query& query, std::uint32_t shard,
+                                   base::time_point now) {
+  routing::service_statistics& service = tables.statistics.services[ServiceOf(tables, query, shard)];
+  const bool enough = routing::LatencySamples(service.latency) >= kServiceSamples;
+  routing::latency_window& window = enough ? service.latency : tables.collections[query.request.collection].latency;
+  routing::RefreshSummary(window, query.config->limit.hedge_budget, now);
+  return window;
+}
+
+base::duration HedgeThreshold(entry_tables& tables, const query& query, std::uint32_t shard, base::time_point now) {
+  const routing::latency_window& window = LatencyOf(tables, query, shard, now);
+  if (routing::LatencySamples(window) < kCollectionSamples) return base::duration::zero();
+  return window.hedge_after;
+}
+
+std::uint32_t ServiceOf(const entry_tables& tables, const query& query, std::uint32_t shard) {
+  const std::uint32_t server = query.view->servers[query.targets[shard]->replicas.front()];
+  return tables.statistics.servers[server].service;
+}
+
+bool IsServiceSaturated(const entry_tables& tables, const query& query, std::uint32_t shard, base::time_point now) {
+  return routing::IsSaturated(tables.statistics.services[ServiceOf(tables, query, shard)].queue, now);
+}
+
+void JudgeServer(entry_tables& tables, instance::context& ctx, std::uint32_t statistics) {
+  const routing::ejection_reason reason = routing::ConsiderEjection(tables.statistics, statistics, ctx.now);
+  if (reason == routing::ejection_reason::kNone) return;
+  const routing::server_statistics& server = tables.statistics.servers[statistics];
+  instance::LogDecision(ctx, "eject",
+                        {{"backend_server", server.id.value},
+                         {"reason", routing::ToString(reason)},
+                         {"for_ms", std::to_string(base::ToMilliseconds(server.ejected_until - ctx.now))}});
+}
+
+}  // namespace limpetrouter::core::entry
--- /dev/null
+++ b/core/entry/hedge.cc
@@ -0,0 +1,143 @@
+#include "core/entry/hedge.h"
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+#include "core/entry/attempts.h"
+#include "core/entry/holders.h"
+#include "core/entry/plan.h"
+#include "core/instance/instance.h"
+
+namespace limpetrouter::core::entry {
+namespace {
+
+/// From this fan-out on, hedges wait until most calls of the query have answered: the few that are left decide its
+/// latency, and hedging each slow call on its own would cost twice the load for a worse result.
+constexpr std::size_t kLargeFanOut = 100;
+constexpr double kAnsweredShare = 0.97;
+constexpr std::uint32_t kMaxHedges = 2;
+/// Ticks come late by half an interval on average; a hedge that is due before half of the next one is sent now.
+constexpr base::duration kTickLead = instance::kTickInterval / 2;
+/// A call that takes this much longer than the slowest healthy calls counts as lost.
+constexpr int kOverdueFactor = 2;
+constexpr base::duration kShortestOverdue = std::chrono::milliseconds(20);
+/// Next look at a shard whose hedge was denied by the budget.
+constexpr base::duration kDeniedDelay = std::chrono::milliseconds(10);
+
+struct hedge_round {
+  entry_tables& tables;
+  instance::context& ctx;
+  entry::query& query;
+  bool large = false;
+  bool tail_only = false;
+  base::time_point next_check = base::time_point::max();
+  std::vector<planned_call> calls;
+};
+
+/// Thresholds of one shard, measured from the last call that was sent for it.
+struct hedge_times {
+  base::duration hedge{};
+  base::duration overdue{};
+};
+
+std::optional<hedge_times> TimesOf(const hedge_round& round, std::uint32_t shard) {
+  const base::duration threshold = HedgeThreshold(round.tables, round.query, shard, round.ctx.now);
+  if (threshold == base::duration::zero()) {
+    // Nothing is known about the service yet; a lost call must still leave time for another one.
+    const base::duration late = (round.query.deadline - round.query.started) / 3;
+    return hedge_times{late, late};
+  }
+  const routing::latency_window& window = LatencyOf(round.tables, round.query, shard, round.ctx.now);
+  hedge_times times;
+  times.hedge = round.large ? window.healthy_p90 : threshold;
+  times.overdue = std::max(kOverdueFactor * std::max(window.healthy_p99, threshold), kShortestOverdue);
+  return times;
+}
+
+/// Evidence that servers and gatherers do not answer.
+void MarkOverdue(hedge_round& round, const shard_task& task, base::duration overdue) {
+  for (std::uint8_t i = 0; i < task.running; ++i) {
+    attempt& running = round.tables.queries.attempts.at(task.running_attempts[i]);
+    const base::duration elapsed = round.ctx.now - running.sent;
+    if (running.overdue || elapsed < overdue) continue;
+    running.overdue = true;
+    routing::RecordCallEnd(round.tables.statistics, running.statistics, routing::call_outcome::kSlow, elapsed, false,
+                           round.ctx.now);
+    JudgeServer(round.tables, round.ctx, running.statistics);
+    CountOverdue(round.tables, running.gatherer, running.sent, round.ctx.now);
+  }
+}
+
+void MarkSilentGatherers(hedge_round& round, const shard_task& task) {
+  for (std::uint8_t i = 0; i < task.running; ++i) {
+    const attempt& running = round.tables.queries.attempts.at(task.running_attempts[i]);
+    const auto health = round.tables.gatherers.find(running.gatherer);
+    if (health == round.tables.gatherers.end() || health->second.last_heard < running.sent) {
+      MarkUnusable(round.query, running.gatherer, kAnyServer);
+    }
+  }
+}
+
+/// Adds a call to a replica that this shard has not tried. Returns false if there is none or no budget.
+bool AddCall(hedge_round& round, std::uint32_t shard, attempt_kind kind, const char* reason) {
+  const auto replica = PickReplica(round.tables, round.ctx, round.query, shard, routing::replica_rank::kOnProbation);
+  if (!replica) return false;
+  collection_state& collection = round.tables.collections[round.query.request.collection];
+  const config::limits& limit = round.query.config->limit;
+  const bool granted = kind == attempt_kind::kHedge
+                           ? routing::TakeExtraCall(collection.hedges, limit.hedge_budget, round.ctx.now)
+                           : routing::TakeExtraCall(collection.retries, limit.retry_budget, round.ctx.now);
+  if (!granted) return false;
+  MarkSilentGatherers(round, round.query.shards[shard]);
+  round.calls.push_back({shard, *replica, kind, reason});
+  ++round.query.shards[shard].hedges;
+  return true;
+}
+
+bool MayHedge(const hedge_round& round, const shard_task& task) {
+  if (task.hedges >= kMaxHedges || task.running >= kMaxConcurrentAttempts) return false;
+  // An unproven request runs on at most two servers at once.
+  const bool canary = round.query.canary == canary_state::kRunning;
+  return !canary || (task.hedges == 0 && round.query.suspected_crashes == 0);
+}
+
+void CheckShard(hedge_round& round, std::uint32_t shard) {
+  const shard_task& task = round.query.shards[shard];
+  if (task.state != shard_state::kOpen || task.running == 0) return;
+  const auto times = TimesOf(round, shard);
+  const base::time_point now = round.ctx.now + kTickLead;
+  const base::time_point hedge_at = task.last_sent + times->hedge;
+  const base::time_point overdue_at = task.last_sent + times->overdue;
+  if (now >= overdue_at) MarkOverdue(round, task, times->overdue - kTickLead);
+  if (!MayHedge(round, task)) return;
+  const bool hedge_due = !round.tail_only && now >= hedge_at;
+  if (!hedge_due && now < overdue_at) {
+    round.next_check = std::min(round.next_check, round.tail_only ? overdue_at : hedge_at);
+    return;
+  }
+  round.next_check = std::min(round.next_check, round.ctx.now + kDeniedDelay);
+  if (IsServiceSaturated(round.tables, round.query, shard, round.ctx.now)) return;
+  if (hedge_due && AddCall(round, shard, attempt_kind::kHedge, "late")) return;
+  if (now >= overdue_at) AddCall(round, shard, attempt_kind::kRetry, "overdue");
+}
+
+}  // namespace
+
+void RunHedges(entry_tables& tables, instance::context& ctx, query& query) {
+  if (!query.rule->repeatable || query.ending || query.wants_restart) return;
+  if (ctx.now + kTickLead < query.hedge_check_at || ctx.now < tables.hold_hedges_until) return;
+  hedge_round round{tables, ctx, query, false, false, base::time_point::max(), {}};
+  round.large = query.shards.size() >= kLargeFanOut;
+  if (round.large && query.canary != canary_state::kRunning) {
+    const double settled = query.answered + query.failed;
+    round.tail_only = settled < kAnsweredShare * static_cast<double>(query.shards.size());
+  }
+  for (std::uint32_t shard = 0; shard < query.shards.size(); ++shard)
+    CheckShard(round, shard);
+  query.hedges += static_cast<std::uint32_t>(round.calls.size());
+  if (!round.calls.empty()) SendCalls(tables, ctx, query, round.calls);
+  query.hedge_check_at = round.next_check;
+}
+
+}  // namespace limpetrouter::core::entry
--- /dev/null
+++ b/core/entry/holders.cc
@@ -0,0 +1,86 @@
+#include "core/entry/holders.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetrouter::core::entry {
+namespace {
+
+/// Overdue calls without an answer in between that mark a gatherer as silent.
+constexpr std::uint32_t kOverdueToAvoid = 3;
+/// A silent gatherer is tried again after this time; the failure detector needs a few seconds to confirm a loss.
+constexpr base::duration kAvoidTime = std::chrono::seconds(1);
+
+bool IsUsable(const entry_tables& tables, const instance::context& ctx, const base::instance_id& id,
+              gatherer_cache& cache) {
+  const auto [cached, is_new] = cache.try_emplace(id, false);
+  if (!is_new) return cached->second;
+  bool usable = !id.value.empty() && membership::IsReachable(ctx.members, id);
+  if (usable) {
+    const auto health = tables.gatherers.find(id);
+    usable = health == tables.gatherers.end() || health->second.unusable_until <= ctx.now;
+  }
+  cached->second = usable;
+  return usable;
+}
+
+bool FailedQuery(const query& query, const base::instance_id& id, std::uint32_t server) {
+  return std::any_of(query.unusable.begin(), query.unusable.end(), [&](const auto& entry) {
+    return entry.first == id && (entry.second == kAnyServer || entry.second == server);
+  });
+}
+
+const membership::holders* FindHolders(const instance::context& ctx, const query& query, std::uint32_t server) {
+  std::size_t index = server;
+  // The placement belongs to the configuration in force, the query to the one that it has pinned.
+  if (ctx.config.get() != query.config.get()) {
+    if (ctx.config == nullptr) return nullptr;
+    const auto found = ctx.config->backend_server_index.find(query.config->backend_servers[server].id);
+    if (found == ctx.config->backend_server_index.end()) return nullptr;
+    index = found->second;
+  }
+  const auto& holders = ctx.placement.by_backend_server;
+  return index < holders.size() ? &holders[index] : nullptr;
+}
+
+}  // namespace
+
+holder_choice ChooseHolder(const entry_tables& tables, const instance::context& ctx, const query& query,
+                           std::uint32_t server, gatherer_cache& cache) {
+  const membership::holders* holders = FindHolders(ctx, query, server);
+  if (holders == nullptr) return {};
+  const bool primary_up = IsUsable(tables, ctx, holders->primary, cache);
+  const bool standby_up = IsUsable(tables, ctx, holders->standby, cache);
+  if (primary_up && !FailedQuery(query, holders->primary, server)) return {&holders->primary, false};
+  if (standby_up && !FailedQuery(query, holders->standby, server)) return {&holders->standby, true};
+  // Both have failed; a second try of one that is up is better than none.
+  if (primary_up) return {&holders->primary, false};
+  if (standby_up) return {&holders->standby, true};
+  return {};
+}
+
+void MarkUnusable(query& query, const base::instance_id& gatherer, std::uint32_t server) {
+  if (!FailedQuery(query, gatherer, server)) query.unusable.emplace_back(gatherer, server);
+}
+
+void CountOverdue(entry_tables& tables, const base::instance_id& gatherer, base::time_point sent,
+                  base::time_point now) {
+  gatherer_health& health = tables.gatherers[gatherer];
+  if (health.last_heard >= sent) return;
+  if (++health.overdue < kOverdueToAvoid) return;
+  health.overdue = 0;
+  health.unusable_until = now + kAvoidTime;
+}
+
+void CountHeard(entry_tables& tables, const base::instance_id& gatherer, base::time_point now) {
+  gatherer_health& health = tables.gatherers[gatherer];
+  health.last_heard = now;
+  health.overdue = 0;
+  health.unusable_until = {};
+}
+
+void CountUnreachable(entry_tables& tables, const base::instance_id& gatherer, base::time_point now) {
+  tables.gatherers[gatherer].unusable_until = now + kAvoidTime;
+}
+
+}  // namespace limpetrouter::core::entry
--- /dev/null
+++ b/core/entry/permitted.cc
@@ -0,0 +1,203 @@
+#include "core/entry/permitted.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "core/entry/answer.h"
+#include "core/entry/start.h"
+#include "core/entry/validate.h"
+#include "core/instance/instance.h"
+
+namespace limpetrouter::core::entry {
+namespace {
+
+using base::error_kind;
+
+constexpr base::duration kFirstResendDelay = std::chrono::milliseconds(20);
+constexpr base::duration kLongestResendDelay = std::chrono::milliseconds(200);
+/// The owner's last word should arrive before the forwarder's deadline.
+constexpr base::duration kForwardReserve = std::chrono::milliseconds(20);
+
+bool IsPast(base::time_point deadline, base::time_point now) { return deadline - now < instance::kTickInterval; }
+
+/// Uses the permit up with a refusal. A copy of the request that is still on its way must not run after the caller has
+/// been told "not run", so the refusal is remembered as the answer of the permit.
+void RefusePermitted(entry_tables& tables, instance::context& ctx, std::uint64_t sequence, std::uint64_t serial,
+                     const start_refusal& refusal) {
+  peer::query_answer answer = MakeRefusal(ctx, sequence, refusal.reason);
+  answer.retry_after_ms = refusal.retry_after_ms;
+  decision made;
+  made.name = "refuse";
+  made.reason = fmt::format("{}: {}", base::ToString(answer.failure), answer.detail);
+  Decide(tables.explanations, ctx, sequence, std::move(made));
+  FinishPermit(tables, ctx, serial, answer);
+}
+
+/// Starts the first request of a permit, whose record exists.
+void StartPermitted(entry_tables& tables, instance::context& ctx, std::uint64_t sequence,
+                    const peer::query_request& request, std::uint64_t serial, base::time_point deadline) {
+  const auto refuse = [&](base::error reason) {
+    RefusePermitted(tables, ctx, sequence, serial, start_refusal{std::move(reason), 0});
+  };
+  if (tables.resumed_at) return refuse({error_kind::kProcessPaused, "the owner of the permit has just resumed"});
+  if (ctx.config == nullptr) return refuse({error_kind::kNoConfiguration, "no configuration has been accepted yet"});
+  const auto valid = ValidateRequest(*ctx.config, request);
+  if (!valid) return refuse(valid.error());
+  if (IsPast(deadline, ctx.now)) return refuse({error_kind::kDeadlineExceeded, "the deadline passed on the way"});
+  query_start start;
+  start.sequence = sequence;
+  start.request = request;
+  start.rule = valid->rule;
+  start.deadline = std::min(deadline, ctx.now + valid->rule->max_deadline);
+  start.permit_serial = serial;
+  const auto refusal = StartQuery(tables, ctx, std::move(start));
+  if (refusal) RefusePermitted(tables, ctx, sequence, serial, *refusal);
+}
+
+void RunAsOwner(entry_tables& tables, instance::context& ctx, std::uint64_t sequence,
+                const peer::query_request& request, const permit& permit, const answer_target& target) {
+  const auto refuse = [&](error_kind kind, std::string detail) {
+    Refuse(tables, ctx, sequence, target, MakeRefusal(ctx, sequence, {kind, std::move(detail)}));
+  };
+  if (!IsGenuine(tables.permits, permit)) {
+    return refuse(error_kind::kPermitInvalid, "this instance has not issued the permit");
+  }
+  const base::fingerprint_id fingerprint = FingerprintOf(request);
+  const auto found = tables.permits.records.find(permit.serial);
+  if (found != tables.permits.records.end()) {
+    permit_record& record = found->second;
+    if (record.fingerprint != fingerprint) {
+      return refuse(error_kind::kPermitMismatch, "the permit was used with another collection, operation, key or body");
+    }
+    const bool finished = record.state == permit_state::kFinished;
+    decision made;
+    made.name = "join";
+    made.reason = finished ? "the permit has its answer" : "the permit is running";
+    Decide(tables.explanations, ctx, sequence, std::move(made));
+    if (finished) return Deliver(ctx, target, record.answer);
+    record.waiters.push_back(target);
+    return;
+  }
+  const base::duration retention =
+      ctx.config != nullptr ? ctx.config->limit.permit_retention : config::limits{}.permit_retention;
+  const base::time_point expiry{base::duration(permit.expiry_us)};
+  if (ctx.now > expiry + retention) {
+    return AnswerUnknown(tables, ctx, sequence, target, "the permit is past its retention; its use is forgotten");
+  }
+  // Every use is remembered until the retention ends, so an expired permit without a record was never used.
+  if (ctx.now > expiry) return refuse(error_kind::kPermitExpired, "the permit has expired unused");
+  permit_record record;
+  record.fingerprint = fingerprint;
+  record.waiters.push_back(target);
+  record.forget_at = expiry + retention;
+  tables.permits.records.emplace(permit.serial, std::move(record));
+  tables.permits.running.insert(permit.serial);
+  StartPermitted(tables, ctx, sequence, request, permit.serial, target.deadline);
+}
+
+/// True if the owner is known to be gone for good, or to have restarted.
+bool IsOwnerGone(const instance::context& ctx, const base::instance_ref& owner) {
+  const membership::member* member = membership::FindMember(ctx.members, owner.id);
+  if (member == nullptr) return true;
+  if (member->info.member.incarnation > owner.incarnation) return true;
+  return member->info.member.incarnation == owner.incarnation && member->info.state == peer::member_state::kDead;
+}
+
+/// Returns false if the message could not even be queued.
+bool SendForward(instance::context& ctx, std::uint64_t token, forwarded_query& forward) {
+  base::duration remaining = forward.target.deadline - ctx.now;
+  remaining -= std::min(remaining / 10, kForwardReserve);
+  peer::forward_request message;
+  message.token = token;
+  message.remaining_us = remaining.count();
+  message.request = forward.request;
+  ++forward.sends;
+  forward.resend_at.reset();
+  return instance::SendToPeer(ctx, forward.owner.id, std::move(message));
+}
+
+void Forward(entry_tables& tables, instance::context& ctx, std::uint64_t sequence, const peer::query_request& request,
+             const permit& permit, const answer_target& target) {
+  if (IsOwnerGone(ctx, permit.owner)) {
+    return AnswerUnknown(tables, ctx, sequence, target, "the owner of the permit is gone or has restarted");
+  }
+  const std::uint32_t bound =
+      ctx.config != nullptr ? ctx.config->limit.max_queries_in_flight : config::limits{}.max_queries_in_flight;
+  if (tables.forwards.size() >= bound) {
+    peer::query_answer answer = MakeRefusal(
+        ctx, sequence, {error_kind::kOverloaded, fmt::format("{} forwarded requests are in flight", bound)});
+    // An earlier copy may have run through another instance.
+    answer.executed = base::executed_state::kUnknown;
+    answer.retry_after_ms = base::ToMilliseconds(kLongestResendDelay);
+    return Refuse(tables, ctx, sequence, target, std::move(answer));
+  }
+  decision made;
+  made.name = "forward";
+  made.gatherer = permit.owner.id.value;
+  made.reason = "owner of the permit";
+  Decide(tables.explanations, ctx, sequence, std::move(made));
+  const std::uint64_t token = tables.next_token++;
+  forwarded_query& forward = tables.forwards[token];
+  forward.query = sequence;
+  forward.target = target;
+  forward.owner = permit.owner;
+  forward.request = request;
+  if (!SendForward(ctx, token, forward)) forward.resend_at = ctx.now + kFirstResendDelay;
+}
+
+}  // namespace
+
+void AnswerUnknown(entry_tables& tables, instance::context& ctx, std::uint64_t sequence, const answer_target& target,
+                   std::string detail) {
+  Refuse(tables, ctx, sequence, target, MakeRefusal(ctx, sequence, {error_kind::kOutcomeUnknown, std::move(detail)}));
+}
+
+void HandlePermitted(entry_tables& tables, instance::context& ctx, std::uint64_t sequence,
+                     const peer::query_request& request, const permit& permit, const answer_target& target) {
+  const base::instance_ref& self = ctx.members.self.ref;
+  if (permit.owner == self) return RunAsOwner(tables, ctx, sequence, request, permit, target);
+  if (permit.owner.id == self.id) {
+    return AnswerUnknown(tables, ctx, sequence, target, "the owner of the permit has restarted");
+  }
+  // A forwarded request goes no further: the sender was wrong about the owner.
+  if (target.forwarded) {
+    return AnswerUnknown(tables, ctx, sequence, target, "this instance does not own the permit");
+  }
+  Forward(tables, ctx, sequence, request, permit, target);
+}
+
+void RunForwards(entry_tables& tables, instance::context& ctx) {
+  for (auto it = tables.forwards.begin(); it != tables.forwards.end();) {
+    forwarded_query& forward = it->second;
+    const bool gone = IsOwnerGone(ctx, forward.owner);
+    if (gone || IsPast(forward.target.deadline, ctx.now)) {
+      const char* detail =
+          gone ? "the owner of the permit is gone or has restarted" : "the owner of the permit did not answer in time";
+      AnswerUnknown(tables, ctx, forward.query, forward.target, detail);
+      it = tables.forwards.erase(it);
+      continue;
+    }
+    if (forward.resend_at && *forward.resend_at <= ctx.now && !SendForward(ctx, it->first, forward)) {
+      forward.resend_at = ctx.now + kLongestResendDelay;
+    }
+    ++it;
+  }
+}
+
+void RunWaiters(entry_tables& tables, instance::context& ctx) {
+  for (const std::uint64_t serial : tables.permits.running) {
+    std::vector<answer_target>& waiters = tables.permits.records.at(serial).waiters;
+    std::erase_if(waiters, [&](const answer_target& waiter) {
+      if (!IsPast(waiter.deadline, ctx.now)) return false;
+      peer::query_answer answer =
+          MakeRefusal(ctx, 0, {error_kind::kOutcomeUnknown, "the request still runs at the deadline of this copy"});
+      Deliver(ctx, waiter, std::move(answer));
+      return true;
+    });
+  }
+}
+
+}  // namespace limpetrouter::core::entry
--- /dev/null
+++ b/core/entry/permitted.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+
+#include "core/entry/entry_tables.h"
+#include "core/instance/context.h"
+#include "core/peer/messages.h"
+
+namespace limpetrouter::core::entry {
+
+/// Runs a non-repeatable request at the owner of its permit, joins it to the run of the same permit, or forwards it to
+/// the owner. Only the owner says "not run". `target.deadline` bounds the wait.
+void HandlePermitted(entry_tables& tables, instance::context& ctx, std::uint64_t sequence,
+                     const peer::query_request& request, const permit& permit, const answer_target& target);
+
+/// Answers that whether the request of this permit ran cannot be determined.
+void AnswerUnknown(entry_tables& tables, instance::context& ctx, std::uint64_t sequence, const answer_target& target,
+                   std::string detail);
+
+/// Resends forwarded requests, and answers those at their deadline or whose owner is gone with "unknown".
+void RunForwards(entry_tables& tables, instance::context& ctx);
+/// Answers requests that joined a run and have reached their own deadline.
+void RunWaiters(entry_tables& tables, instance::context& ctx);
+
+}  // namespace limpetrouter::core::entry
--- /dev/null
+++ b/core/entry/results.cc
@@ -0,0 +1,169 @@
+#include "core/entry/results.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "core/entry/answer.h"
+#include "core/entry/attempts.h"
+#include "core/entry/hedge.h"
+#include "core/entry/holders.h"
+#include "core/entry/plan.h"
+#include "core/entry/retry.h"
+#include "core/instance/instance.h"
+
+namespace limpetrouter::core::entry {
+namespace {
+
+using base::error_kind;
+using base::executed_state;
+using routing::call_outcome;
+
+/// True if the result covers the whole shard of the pinned snapshot.
+bool IsAcceptable(const query& query, const attempt& made, const peer::attempt_result& result) {
+  return result.snapshot == query.snapshot->id && result.documents == query.targets[made.shard]->documents;
+}
+
+/// What a failure says about the backend server. Draining, shedding and errors between instances are not its faults.
+call_outcome OutcomeOf(error_kind failure) {
+  switch (failure) {
+    case error_kind::kConnectFailed:
+    case error_kind::kConnectionLost:
+    case error_kind::kAnswerTruncated:
+    case error_kind::kAnswerMismatched:
+    case error_kind::kAnswerMalformed:
+    case error_kind::kBackendWrongShard:
+      return call_outcome::kFailure;
+    default:
+      return call_outcome::kNeutral;
+  }
+}
+
+void RecordSuccess(entry_tables& tables, const instance::context& ctx, const query& query, const attempt& made,
+                   const peer::attempt_result& result) {
+  routing::RecordCallTimes(tables.statistics, made.statistics, base::duration(result.queued_us),
+                           base::duration(result.called_us), ctx.now);
+  if (result.draining) {
+    tables.statistics.servers[made.statistics].drain_hint_until = ctx.now + std::chrono::seconds(5);
+  }
+  // Hedges are left out: those that win are faster than the average call.
+  if (made.kind == attempt_kind::kHedge) return;
+  const base::duration latency = ctx.now - made.sent;
+  routing::AddLatency(tables.statistics.services[ServiceOf(tables, query, made.shard)].latency, latency, ctx.now);
+  routing::AddLatency(tables.collections[query.request.collection].latency, latency, ctx.now);
+}
+
+void AcceptResult(entry_tables& tables, instance::context& ctx, query& query, const attempt& made,
+                  const peer::attempt_result& result) {
+  if (query.shards[made.shard].state != shard_state::kOpen) return;
+  CancelLosers(tables, ctx, query, made.shard);
+  MergeShard(query, made.shard, result);
+  if (query.rule->canary && !query.proven) {
+    MarkProven(tables.proven, query.fingerprint);
+    query.proven = true;
+  }
+  if (query.canary != canary_state::kRunning) return;
+  query.canary = canary_state::kSucceeded;
+  SendHeldCalls(tables, ctx, query);
+}
+
+/// True if the deadline passes before the next tick could act on it.
+bool IsAtDeadline(const query& query, base::time_point now) { return query.deadline - now < instance::kTickInterval; }
+
+base::error DeadlineError(const query& query) {
+  if (query.wants_restart) {
+    return {error_kind::kSnapshotGone, fmt::format("no replica holds snapshot {}", query.snapshot->id.value)};
+  }
+  return {error_kind::kDeadlineExceeded,
+          fmt::format("{} ms have passed", base::ToMilliseconds(query.deadline - query.started))};
+}
+
+/// What a shard that was given up failed of.
+base::error FailedShardError(const query& query) {
+  for (std::size_t i = 0; i < query.shards.size(); ++i) {
+    const shard_task& task = query.shards[i];
+    if (task.state != shard_state::kFailed) continue;
+    return {error_kind::kNoUsableReplica, fmt::format("shard {} has no usable replica; last failure: {}",
+                                                      query.targets[i]->id.value, base::ToString(task.last_failure))};
+  }
+  return {error_kind::kInternal, "a query ended without a cause"};
+}
+
+}  // namespace
+
+void ApplyResult(entry_tables& tables, instance::context& ctx, const base::instance_id& sender,
+                 base::query_sequence sequence, const peer::attempt_result& result) {
+  const auto found = tables.queries.attempts.find(result.attempt.value);
+  if (found == tables.queries.attempts.end() || found->second.query != sequence.value) return;
+  const attempt& made = found->second;
+  query& query = tables.queries.queries.at(sequence.value);
+  if (made.gatherer != sender || query.targets[made.shard]->id != result.shard ||
+      query.config->backend_servers[made.server].id != result.backend_server) {
+    return;
+  }
+  if (result.succeeded && IsAcceptable(query, made, result)) {
+    const attempt ended =
+        EndAttempt(tables, ctx, query, result.attempt.value, call_outcome::kSuccess, executed_state::kYes);
+    RecordSuccess(tables, ctx, query, ended, result);
+    AcceptResult(tables, ctx, query, ended, result);
+    return;
+  }
+  const error_kind failure = result.succeeded ? error_kind::kAnswerMismatched : result.failure;
+  const executed_state executed = result.succeeded ? executed_state::kYes : result.executed;
+  const attempt ended = EndAttempt(tables, ctx, query, result.attempt.value, OutcomeOf(failure), executed);
+  if (failure == error_kind::kBackendShed) {
+    routing::AddShed(tables.statistics.services[ServiceOf(tables, query, ended.shard)].queue, ctx.now);
+  }
+  JudgeServer(tables, ctx, ended.statistics);
+  HandleFailure(tables, ctx, query, ended, failure, executed);
+}
+
+void LoseAttempt(entry_tables& tables, instance::context& ctx, query& query, std::uint64_t sequence,
+                 executed_state executed) {
+  const attempt ended = EndAttempt(tables, ctx, query, sequence, call_outcome::kNeutral, executed);
+  HandleFailure(tables, ctx, query, ended, error_kind::kPeerUnreachable, executed);
+}
+
+void LoseAttemptsOfLostGatherers(entry_tables& tables, instance::context& ctx) {
+  if (tables.members_version == ctx.members.version) return;
+  tables.members_version = ctx.members.version;
+  for (auto& [sequence, query] : tables.queries.queries) {
+    std::vector<std::uint64_t> lost;
+    for (const shard_task& task : query.shards) {
+      for (std::uint8_t i = 0; i < task.running; ++i) {
+        const attempt& made = tables.queries.attempts.at(task.running_attempts[i]);
+        const membership::member* member = membership::FindMember(ctx.members, made.gatherer);
+        const bool restarted = member != nullptr && made.gatherer_incarnation.value != 0 &&
+                               member->info.member.incarnation > made.gatherer_incarnation;
+        if (restarted || !membership::IsReachable(ctx.members, made.gatherer)) lost.push_back(task.running_attempts[i]);
+      }
+    }
+    for (const std::uint64_t attempt : lost)
+      LoseAttempt(tables, ctx, query, attempt, executed_state::kUnknown);
+  }
+}
+
+void AdvanceQuery(entry_tables& tables, instance::context& ctx, std::uint64_t sequence) {
+  const auto found = tables.queries.queries.find(sequence);
+  if (found == tables.queries.queries.end()) return;
+  query& query = found->second;
+  if (!query.ending && IsAtDeadline(query, ctx.now)) {
+    FinishQuery(tables, ctx, query, DeadlineError(query));
+    return;
+  }
+  RunRestart(tables, ctx, query);
+  RunRetries(tables, ctx, query);
+  RunHedges(tables, ctx, query);
+  if (query.ending) {
+    RefuseQuery(tables, ctx, query, *query.ending);
+    return;
+  }
+  const bool settled = query.answered + query.failed == query.shards.size();
+  const bool canary_failed =
+      query.canary == canary_state::kRunning && query.shards[query.canary_shard].state == shard_state::kFailed;
+  if (settled || canary_failed) FinishQuery(tables, ctx, query, FailedShardError(query));
+}
+
+}  // namespace limpetrouter::core::entry
--- /dev/null
+++ b/core/routing/admission.cc
@@ -0,0 +1,72 @@
+#include "core/routing/admission.h"
+
+#include <algorithm>
+
+namespace limpetrouter::core::routing {
+namespace {
+
+/// Queues are standing if more than this share of the calls waits longer than the target. The share, not the mean, is
+/// controlled: a server with few slots is at 95% of its capacity when about three calls in four wait a little, whereas
+/// the mean delay is then dominated by rare long waits.
+constexpr double kStandingShare = 0.75;
+/// Below this share there is room for more queries.
+constexpr double kRoomShare = 0.60;
+constexpr double kDecrease = 0.93;
+constexpr double kStrongDecrease = 0.80;
+constexpr double kIncrease = 1.04;
+/// Sheds are calls that were lost; a few per hundred already cost whole queries.
+constexpr double kShedShare = 0.01;
+constexpr std::uint32_t kFewestCalls = 10;
+/// With so few waiting calls the limit is far below the capacity.
+constexpr double kIdleShare = 0.25;
+constexpr double kFastIncrease = 1.25;
+constexpr double kSmallestStep = 0.1;
+
+bool IsStrong(const queue_state& worst, base::duration healthy) {
+  if (worst.shed > 5 * kShedShare * (worst.calls + worst.shed)) return true;
+  return worst.mean > 3 * std::max<base::duration>(healthy, std::chrono::milliseconds(5));
+}
+
+}  // namespace
+
+bool Admits(const admission_limit& limit, double weight, bool urgent) {
+  return urgent || limit.in_flight == 0 || limit.weight_in_flight + weight <= limit.limit;
+}
+
+void CountAdmitted(admission_limit& limit, double weight) {
+  ++limit.in_flight;
+  limit.weight_in_flight += weight;
+  ++limit.admitted;
+  limit.peak = std::max(limit.peak, limit.weight_in_flight);
+}
+
+void CountEnded(admission_limit& limit, double weight, base::duration query_time) {
+  if (limit.in_flight > 0) --limit.in_flight;
+  // Exactly zero when nothing runs, so that rounding errors do not add up.
+  limit.weight_in_flight = limit.in_flight == 0 ? 0 : std::max(0.0, limit.weight_in_flight - weight);
+  const auto sample = static_cast<double>(query_time.count());
+  limit.query_us = limit.query_us == 0 ? sample : limit.query_us + 0.05 * (sample - limit.query_us);
+}
+
+void AdjustLimit(admission_limit& limit, const queue_state& worst, base::duration healthy, base::time_point now) {
+  // The effect of an adjustment shows when the queries admitted after it have been answered.
+  const base::duration period = std::max<base::duration>(kQueueWindow, 3 * healthy);
+  if (now - limit.adjusted < period || limit.limit == 0) return;
+  limit.adjusted = now;
+  const bool shedding = worst.shed > kShedShare * (worst.calls + worst.shed);
+  const bool enough = worst.calls + worst.shed >= kFewestCalls;
+  if (enough && (shedding || worst.delayed_share > kStandingShare)) {
+    // The limit follows what is really in flight, else it would take long to become effective.
+    const double used = std::min(limit.limit, std::max(limit.peak, kLowestLimit));
+    limit.limit = used * (IsStrong(worst, healthy) ? kStrongDecrease : kDecrease);
+  } else if (limit.refused_since > 0 && worst.delayed_share < kIdleShare) {
+    limit.limit = limit.limit * kFastIncrease + kSmallestStep;
+  } else if (limit.refused_since > 0 && worst.delayed_share < kRoomShare) {
+    limit.limit = limit.limit * kIncrease + kSmallestStep;
+  }
+  limit.limit = std::max(limit.limit, kLowestLimit);
+  limit.peak = limit.weight_in_flight;
+  limit.refused_since = 0;
+}
+
+}  // namespace limpetrouter::core::routing
--- /dev/null
+++ b/core/routing/admission.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+
+#include "core/base/time.h"
+#include "core/routing/queue_window.h"
+
+namespace limpetrouter::core::routing {
+
+/// Adaptive limit on the queries in flight of one collection at one entry. A query weighs as much as the share of the
+/// collection's shards that it touches.
+struct admission_limit {
+  /// Zero until the first query sets it from the configured slots.
+  double limit = 0;
+  double weight_in_flight = 0;
+  std::uint32_t in_flight = 0;
+  /// Highest weight in flight since the last adjustment.
+  double peak = 0;
+  base::time_point adjusted{};
+  /// No refusal since the last adjustment means that the limit does not bind and need not grow.
+  std::uint32_t refused_since = 0;
+  std::uint64_t admitted = 0;
+  std::uint64_t refused = 0;
+  /// Mean time of finished queries, for the advice when to try again.
+  double query_us = 0;
+};
+
+/// Smallest limit, so that some queries always probe whether there is capacity.
+inline constexpr double kLowestLimit = 1;
+
+/// Whether one more query fits. Urgent ones pass the adaptive limit; a lone query always fits.
+bool Admits(const admission_limit& limit, double weight, bool urgent);
+void CountAdmitted(admission_limit& limit, double weight);
+void CountEnded(admission_limit& limit, double weight, base::duration query_time);
+
+/// Adjusts the limit to the queueing delay of the most loaded service of the collection, once an adjustment period.
+/// `healthy` is the usual latency of a call.
+void AdjustLimit(admission_limit& limit, const queue_state& worst, base::duration healthy, base::time_point now);
+
+}  // namespace limpetrouter::core::routing
--- /dev/null
+++ b/core/routing/ejection.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+
+#include "core/base/time.h"
+#include "core/routing/backend_statistics.h"
+
+namespace limpetrouter::core::routing {
+
+/// Why a server was ejected; `kNone` if it was not.
+enum class ejection_reason : std::uint8_t { kNone, kFailures, kSlowCalls, kLatency };
+
+const char* ToString(ejection_reason reason);
+
+/// Ejects the server if the evidence asks for it and at most a third of its service is ejected then.
+ejection_reason ConsiderEjection(statistics_table& table, std::uint32_t server, base::time_point now);
+
+inline bool IsEjected(const server_statistics& server, base::time_point now) { return server.ejected_until > now; }
+
+}  // namespace limpetrouter::core::routing
--- /dev/null
+++ b/core/routing/queue_window.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+
+#include "core/base/time.h"
+
+namespace limpetrouter::core::routing {
+
+/// Length of one measurement of queueing delay.
+inline constexpr base::duration kQueueWindow = std::chrono::milliseconds(100);
+
+/// Queueing delay of recent calls as gatherers report it. Holds the current and the last complete window.
+struct queue_window {
+  base::time_point started{};
+  std::uint32_t calls = 0;
+  /// Calls that waited longer than the target.
+  std::uint32_t delayed = 0;
+  std::uint32_t shed = 0;
+  std::int64_t total_us = 0;
+  std::uint32_t last_calls = 0;
+  std::uint32_t last_delayed = 0;
+  std::uint32_t last_shed = 0;
+  std::int64_t last_total_us = 0;
+};
+
+/// Longest queueing delay that is not yet a sign of overload: a quarter of the healthy call latency, at least 5 ms.
+base::duration QueueTarget(base::duration healthy_latency);
+
+void AddQueueDelay(queue_window& window, base::duration queued, base::duration target, base::time_point now);
+void AddShed(queue_window& window, base::time_point now);
+
+struct queue_state {
+  /// Share of calls that waited longer than the target.
+  double delayed_share = 0;
+  base::duration mean{};
+  std::uint32_t calls = 0;
+  std::uint32_t shed = 0;
+};
+/// State over the last complete and the current window; empty if there are no recent calls.
+queue_state QueueState(const queue_window& window, base::time_point now);
+
+/// True if a standing queue or shed calls say that extra calls would do harm.
+bool IsSaturated(const queue_window& window, base::time_point now);
+
+}  // namespace limpetrouter::core::routing
