--- /dev/null
+++ b/core/gather/call_lanes.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "core/gather/gather_tables.h"
+
+namespace limpetrouter::core::gather {
+
+/// Appends a call to the lane of its entry.
+void PushLane(call_lanes& lanes, const call_key& key);
+
+/// Takes the next call: entries take turns, and within an entry the oldest comes first. Empty if there is none.
+std::optional<call_key> PopLane(const gather_tables& tables, call_lanes& lanes);
+
+/// Queued calls in the order of their entries, without those that have ended.
+std::vector<call_key> ListLanes(const gather_tables& tables, const call_lanes& lanes);
+
+}  // namespace limpetrouter::core::gather
--- /dev/null
+++ b/core/gather/crash_evidence.cc
@@ -0,0 +1,116 @@
+#include "core/gather/crash_evidence.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/base/digest.h"
+#include "core/gather/calls.h"
+#include "core/gather/guards.h"
+
+namespace limpetrouter::core::gather {
+namespace {
+
+/// A crash breaks all connections of a backend server within this time.
+constexpr base::duration kIncidentTime = std::chrono::milliseconds(5);
+/// Most instances that are told of a crash directly.
+constexpr std::size_t kMaxTold = 64;
+
+/// Unproven fingerprints that ran when the connections broke, each once.
+std::set<base::fingerprint_id> Suspects(const gather_tables& tables, const holding& holding) {
+  std::set<base::fingerprint_id> suspects;
+  for (const lost_call& lost : holding.incident->lost) {
+    if (lost.call.guarded) suspects.insert(lost.call.request->fingerprint);
+  }
+  for (const call_key& key : holding.running) {
+    const call& call = tables.calls.at(key);
+    if (call.guarded) suspects.insert(call.request->fingerprint);
+  }
+  return suspects;
+}
+
+/// Records a crash. The second one withholds the fingerprint.
+void Blame(gather_tables& tables, instance::context& ctx, const holding& holding, base::fingerprint_id fingerprint,
+           bool certain) {
+  const base::duration time = ctx.config == nullptr ? config::limits{}.withhold_time : ctx.config->limit.withhold_time;
+  const bool second = membership::IsSuspected(ctx.facts, fingerprint, ctx.now);
+  Distrust(tables, fingerprint);
+  membership::RecordSuspected(ctx.facts, fingerprint, {ServerHash(holding.id), certain}, time, ctx.now);
+  if (second && certain) membership::RecordWithheld(ctx.facts, fingerprint, time, ctx.now);
+  const bool withheld = membership::IsWithheld(ctx.facts, fingerprint, ctx.now);
+  instance::LogDecision(ctx, withheld ? "withhold" : "suspect",
+                        {{"fingerprint", base::ToHex(fingerprint.value)},
+                         {"backend_server", holding.id.value},
+                         {"certain", certain ? "yes" : "no"}});
+}
+
+/// Appends what is known of the fingerprint, with the lifetime that is left.
+void AppendFacts(const instance::context& ctx, base::fingerprint_id fingerprint, std::vector<peer::fact>& facts) {
+  for (const auto kind : {peer::fact_kind::kRequestSuspected, peer::fact_kind::kRequestWithheld}) {
+    const auto found = ctx.facts.facts.find({kind, base::ToHex(fingerprint.value)});
+    if (found == ctx.facts.facts.end() || found->second.expires <= ctx.now) continue;
+    facts.push_back(found->second.fact);
+    facts.back().expires_in_us = (found->second.expires - ctx.now).count();
+  }
+}
+
+/// Tells the holders of the other replicas, where the next run would be, without waiting for the facts to spread.
+void TellHolders(instance::context& ctx, const holding& holding, const std::vector<peer::fact>& facts) {
+  if (ctx.config == nullptr || facts.empty()) return;
+  std::set<base::instance_id> targets;
+  const auto& servers = ctx.config->backend_servers;
+  for (std::size_t i = 0; i < servers.size() && i < ctx.placement.by_backend_server.size(); ++i) {
+    if (servers[i].service != holding.service) continue;
+    targets.insert(ctx.placement.by_backend_server[i].primary);
+    targets.insert(ctx.placement.by_backend_server[i].standby);
+  }
+  targets.erase(base::instance_id());
+  targets.erase(ctx.members.self.ref.id);
+  std::size_t told = 0;
+  for (const base::instance_id& target : targets) {
+    if (told++ == kMaxTold) break;
+    instance::SendToPeer(ctx, target, peer::announce{{{}, facts}});
+  }
+}
+
+void CloseIncident(gather_tables& tables, instance::context& ctx, holding& holding) {
+  const std::set<base::fingerprint_id> suspects = Suspects(tables, holding);
+  std::vector<peer::fact> facts;
+  for (const base::fingerprint_id& fingerprint : suspects) {
+    Blame(tables, ctx, holding, fingerprint, suspects.size() == 1);
+    AppendFacts(ctx, fingerprint, facts);
+  }
+  TellHolders(ctx, holding, facts);
+  std::vector<lost_call> lost = std::move(holding.incident->lost);
+  holding.incident.reset();
+  holding.ready = true;
+  holding.health.open_ahead = true;
+  holding.health.next_probe = std::min(holding.health.next_probe, ctx.now + std::chrono::milliseconds(50));
+  for (lost_call& item : lost) {
+    tables.pending.push_back({item.call.key.entry, item.call.request->query, std::move(item.result)});
+    if (item.call.guarded) EndGuarded(tables, ctx, item.call, false);
+  }
+}
+
+}  // namespace
+
+void AddLostCall(gather_tables& tables, instance::context& ctx, const call_key& key, peer::attempt_result result) {
+  lost_call lost;
+  lost.call = TakeCall(tables, key);
+  lost.result = std::move(result);
+  lost.result.queued_us = (lost.call.started - lost.call.arrived).count();
+  holding& holding = tables.holdings.at(lost.call.server);
+  if (!holding.incident.has_value()) holding.incident = crash_incident{ctx.now, {}};
+  holding.incident->lost.push_back(std::move(lost));
+}
+
+void CloseIncidents(gather_tables& tables, instance::context& ctx) {
+  for (auto& [id, holding] : tables.holdings) {
+    if (!holding.incident.has_value() || ctx.now - holding.incident->opened < kIncidentTime) continue;
+    CloseIncident(tables, ctx, holding);
+  }
+}
+
+}  // namespace limpetrouter::core::gather
--- /dev/null
+++ b/core/gather/entries.cc
@@ -0,0 +1,84 @@
+#include "core/gather/entries.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "core/base/digest.h"
+#include "core/base/random.h"
+#include "core/gather/calls.h"
+
+namespace limpetrouter::core::gather {
+namespace {
+
+/// Keys of the calls of one entry, in the order of their attempts.
+std::vector<call_key> CallsOf(const gather_tables& tables, std::uint32_t entry) {
+  std::vector<call_key> keys;
+  for (const auto& [key, call] : tables.calls) {
+    if (key.entry == entry) keys.push_back(key);
+  }
+  std::sort(keys.begin(), keys.end());
+  return keys;
+}
+
+void DropCalls(gather_tables& tables, instance::context& ctx, std::uint32_t entry) {
+  for (const call_key& key : CallsOf(tables, entry)) {
+    const auto found = tables.calls.find(key);
+    if (found == tables.calls.end()) continue;
+    CancelCall(tables, ctx, found->second);
+  }
+}
+
+}  // namespace
+
+std::uint32_t EntryRow(gather_tables& tables, const base::instance_ref& ref) {
+  const auto [found, added] = tables.entry_index.try_emplace(ref, tables.next_entry);
+  if (!added) return found->second;
+  entry_record& record = tables.entries[tables.next_entry];
+  record.ref = ref;
+  record.hash = base::HashBytes(ref.id.value, ref.incarnation.value);
+  return tables.next_entry++;
+}
+
+void SweepEntries(gather_tables& tables, instance::context& ctx) {
+  std::map<base::instance_id, base::incarnation_id> newest;
+  for (const auto& [row, record] : tables.entries) {
+    base::incarnation_id& known = newest[record.ref.id];
+    known = std::max(known, record.ref.incarnation);
+  }
+  std::vector<std::uint32_t> forgotten;
+  for (const auto& [row, record] : tables.entries) {
+    if (record.calls != 0 && !membership::IsCurrent(ctx.members, record.ref)) DropCalls(tables, ctx, row);
+    // The newest life is kept although it seems gone: after a partition, it may send the same attempts again.
+    if (record.calls == 0 && record.ref.incarnation < newest[record.ref.id]) forgotten.push_back(row);
+  }
+  for (const std::uint32_t row : forgotten) {
+    tables.entry_index.erase(tables.entries.at(row).ref);
+    tables.entries.erase(row);
+  }
+}
+
+void FlushResults(gather_tables& tables, instance::context& ctx) {
+  if (tables.pending.empty()) return;
+  std::vector<pending_result> pending = std::move(tables.pending);
+  tables.pending.clear();
+  std::stable_sort(pending.begin(), pending.end(), [](const pending_result& a, const pending_result& b) {
+    return std::pair(a.entry, a.query) < std::pair(b.entry, b.query);
+  });
+  for (std::size_t i = 0; i < pending.size();) {
+    const std::uint32_t row = pending[i].entry;
+    const auto record = tables.entries.find(row);
+    peer::gather_answer answer;
+    if (record != tables.entries.end()) answer.entry = record->second.ref;
+    answer.query = pending[i].query;
+    for (; i < pending.size() && pending[i].entry == row && pending[i].query == answer.query; ++i)
+      answer.results.push_back(std::move(pending[i].result));
+    if (record == tables.entries.end() || !membership::IsCurrent(ctx.members, answer.entry)) continue;
+    const base::instance_id target = answer.entry.id;
+    instance::SendToPeer(ctx, target, std::move(answer));
+  }
+}
+
+}  // namespace limpetrouter::core::gather
--- /dev/null
+++ b/core/gather/guards.cc
@@ -0,0 +1,129 @@
+#include "core/gather/guards.h"
+
+#include <utility>
+
+#include "core/base/digest.h"
+#include "core/base/random.h"
+#include "core/gather/calls.h"
+
+namespace limpetrouter::core::gather {
+namespace {
+
+using base::error_kind;
+
+constexpr std::size_t kRememberedFingerprints = 16'384;
+
+std::uint64_t ClearedHash(base::fingerprint_id fingerprint, const base::backend_server_id& server) {
+  return base::MixHash(fingerprint.value, ServerHash(server));
+}
+
+void Remember(std::unordered_set<std::uint64_t>& set, std::deque<std::uint64_t>& order, std::uint64_t value) {
+  if (!set.insert(value).second) return;
+  order.push_back(value);
+  if (order.size() <= kRememberedFingerprints) return;
+  set.erase(order.front());
+  order.pop_front();
+}
+
+/// Why a waiting call cannot take its turn, if so.
+std::optional<error_kind> TurnObstacle(const gather_tables& tables, const instance::context& ctx, call& call) {
+  const holding& holding = tables.holdings.at(call.server);
+  if (holding.draining) return error_kind::kBackendDraining;
+  if (holding.health.failing) return error_kind::kConnectFailed;
+  return CheckGuarded(tables, ctx, call);
+}
+
+/// The next waiting call that still exists.
+call* TakeWaiting(gather_tables& tables, fingerprint_guard& guard) {
+  while (!guard.waiting.empty()) {
+    const auto found = tables.calls.find(guard.waiting.front());
+    guard.waiting.pop_front();
+    if (found != tables.calls.end() && found->second.state == call_state::kWaiting) return &found->second;
+  }
+  return nullptr;
+}
+
+/// Queues the waiting calls that need no guard any longer; the others keep waiting.
+void ReleaseWaiting(gather_tables& tables, const instance::context& ctx, fingerprint_guard& guard) {
+  std::deque<call_key> kept;
+  while (call* const call = TakeWaiting(tables, guard)) {
+    Classify(tables, ctx, *call);
+    if (call->guarded) {
+      kept.push_back(call->key);
+    } else {
+      EnqueueCall(tables, *call);
+    }
+  }
+  guard.waiting = std::move(kept);
+}
+
+}  // namespace
+
+std::uint64_t ServerHash(const base::backend_server_id& server) { return base::HashBytes(server.value); }
+
+void Classify(const gather_tables& tables, const instance::context& ctx, call& call) {
+  const base::fingerprint_id fingerprint = call.request->fingerprint;
+  const bool suspected = membership::IsSuspected(ctx.facts, fingerprint, ctx.now) &&
+                         !tables.fingerprints.cleared.contains(ClearedHash(fingerprint, call.server));
+  const bool proven = call.request->proven || tables.fingerprints.proven.contains(fingerprint.value);
+  call.alone = suspected;
+  call.guarded = suspected || !proven;
+}
+
+std::optional<error_kind> CheckGuarded(const gather_tables& tables, const instance::context& ctx, call& call) {
+  const base::fingerprint_id fingerprint = call.request->fingerprint;
+  if (membership::IsWithheld(ctx.facts, fingerprint, ctx.now)) return error_kind::kRequestWithheld;
+  const auto suspicion = membership::FindSuspicion(ctx.facts, fingerprint, ctx.now);
+  call.alone = suspicion.has_value() && !tables.fingerprints.cleared.contains(ClearedHash(fingerprint, call.server));
+  // The second run belongs to the next replica, so that no two of them happen at the same time.
+  if (call.alone && !call.request->proven && suspicion->crashed_server == ServerHash(call.server)) {
+    return error_kind::kConnectFailed;
+  }
+  return std::nullopt;
+}
+
+bool AdmitGuarded(gather_tables& tables, call& call) {
+  const auto [found, added] = tables.guards.try_emplace(call.request->fingerprint);
+  fingerprint_guard& guard = found->second;
+  if (added) {
+    guard.active = call.key;
+    EnqueueCall(tables, call);
+    return true;
+  }
+  if (guard.waiting.size() >= kMaxWaiting) return false;
+  call.state = call_state::kWaiting;
+  guard.waiting.push_back(call.key);
+  return true;
+}
+
+void EndGuarded(gather_tables& tables, instance::context& ctx, const call& ended, bool succeeded) {
+  const base::fingerprint_id fingerprint = ended.request->fingerprint;
+  const auto found = tables.guards.find(fingerprint);
+  if (found == tables.guards.end() || found->second.active != ended.key) return;
+  fingerprint_guard& guard = found->second;
+  if (succeeded) {
+    Remember(tables.fingerprints.proven, tables.fingerprints.proven_order, fingerprint.value);
+    if (ended.alone) {
+      Remember(tables.fingerprints.cleared, tables.fingerprints.cleared_order, ClearedHash(fingerprint, ended.server));
+    }
+    ReleaseWaiting(tables, ctx, guard);
+  }
+  while (call* const next = TakeWaiting(tables, guard)) {
+    const auto obstacle = TurnObstacle(tables, ctx, *next);
+    if (!obstacle.has_value()) {
+      guard.active = next->key;
+      EnqueueCall(tables, *next);
+      return;
+    }
+    // It is not the active call, so its end does not come back here.
+    FinishNotRun(tables, ctx, call_key(next->key), *obstacle);
+  }
+  tables.guards.erase(found);
+}
+
+void Distrust(gather_tables& tables, base::fingerprint_id fingerprint) {
+  // The orders keep their entries; a value that is no longer in its set is harmless there.
+  tables.fingerprints.proven.erase(fingerprint.value);
+}
+
+}  // namespace limpetrouter::core::gather
--- /dev/null
+++ b/core/gather/slots.cc
@@ -0,0 +1,71 @@
+#include "core/gather/slots.h"
+
+#include <algorithm>
+
+namespace limpetrouter::core::gather {
+namespace {
+
+/// A cold backend server gets all slots after this time at the earliest.
+constexpr base::duration kColdRamp = std::chrono::seconds(2);
+/// Sheds within this time are one burst: their calls were sent before the first of them was seen.
+constexpr base::duration kShedBurst = std::chrono::milliseconds(20);
+/// How long one urgent call counts as urgent load.
+constexpr base::duration kUrgentLoad = std::chrono::seconds(1);
+/// Weight of the newest call in the mean time.
+constexpr double kCallWeight = 0.1;
+
+}  // namespace
+
+std::uint32_t UsableSlots(const holding_slots& slots) {
+  return std::clamp(static_cast<std::uint32_t>(slots.usable), std::uint32_t{1}, slots.limit);
+}
+
+std::uint32_t NormalSlots(const holding& holding, base::time_point now) {
+  const std::uint32_t usable = UsableSlots(holding.slots);
+  const bool urgent_load = holding.urgent_seen != base::time_point{} && now - holding.urgent_seen < kUrgentLoad;
+  // With fewer than three slots, a reserved one would halve the capacity.
+  if (!urgent_load || usable < 3) return usable;
+  return usable - std::max<std::uint32_t>(1, usable / 5);
+}
+
+void SetSlotLimit(holding_slots& slots, std::uint32_t server_slots, std::uint32_t connections) {
+  const std::uint32_t limit = std::max<std::uint32_t>(1, std::min(server_slots, connections / 4));
+  const bool full = slots.usable >= slots.limit && !slots.cold;
+  slots.limit = limit;
+  slots.usable = full ? limit : std::min<double>(slots.usable, limit);
+}
+
+void StartCold(holding_slots& slots, base::time_point now) {
+  slots.cold = true;
+  slots.cold_since = now;
+  slots.usable = 1;
+}
+
+void RaiseSlots(holding_slots& slots, base::duration called, base::time_point now) {
+  const auto us = static_cast<double>(std::max<std::int64_t>(called.count(), 1));
+  slots.call_us = slots.call_us == 0 ? us : slots.call_us + kCallWeight * (us - slots.call_us);
+  double ceiling = slots.limit;
+  if (slots.cold) {
+    const double share = static_cast<double>((now - slots.cold_since).count()) / static_cast<double>(kColdRamp.count());
+    slots.cold = share < 1;
+    ceiling = std::min(ceiling, 1 + (slots.limit - 1) * share);
+  }
+  if (slots.usable >= ceiling) return;
+  slots.usable = std::min(ceiling, slots.usable + 1 / slots.usable);
+}
+
+void LowerSlots(holding_slots& slots, base::time_point now) {
+  if (slots.lowered != base::time_point{} && now - slots.lowered < kShedBurst) return;
+  slots.lowered = now;
+  slots.usable = std::max(1.0, slots.usable / 2);
+}
+
+base::duration EstimateWait(const holding& holding, bool urgent, base::time_point now) {
+  const std::uint32_t usable = urgent ? UsableSlots(holding.slots) : NormalSlots(holding, now);
+  const std::size_t ahead = holding.urgent.size + (urgent ? 0 : holding.normal.size);
+  if (ahead == 0 && holding.running.size() < usable) return {};
+  const double rounds = static_cast<double>(ahead + 1) / usable;
+  return base::duration(static_cast<std::int64_t>(rounds * holding.slots.call_us));
+}
+
+}  // namespace limpetrouter::core::gather
