--- /dev/null
+++ b/shell/backend_client.cc
@@ -0,0 +1,162 @@
+#include "shell/backend_client.h"
+
+#include <algorithm>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "shell/backend_codec.h"
+#include "shell/transfer_pool.h"
+
+namespace limpetrouter::shell {
+namespace {
+
+using core::base::error_kind;
+using core::base::executed_state;
+using core::peer::attempt_result;
+using std::chrono::steady_clock;
+
+/// Load reports are small; a server that takes longer is of no use for the next choice either.
+constexpr std::chrono::milliseconds kProbeTimeout{1'000};
+constexpr std::chrono::milliseconds kCancelTimeout{500};
+constexpr std::size_t kMaxLoadBytes = 64 * 1024;
+
+struct call_key {
+  core::base::instance_ref entry;
+  core::base::attempt_sequence attempt;
+
+  friend bool operator==(const call_key&, const call_key&) = default;
+};
+
+struct call_key_hash {
+  std::size_t operator()(const call_key& key) const noexcept {
+    return std::hash<core::base::instance_ref>{}(key.entry) ^ (key.attempt.value * 0x9E3779B97F4A7C15ULL);
+  }
+};
+
+attempt_result ToAttemptResult(const core::io::call_backend& call, const transfer_result& ended) {
+  const executed_state state = ended.bytes_sent ? executed_state::kUnknown : executed_state::kNo;
+  switch (ended.outcome) {
+    case transfer_outcome::kAnswered:
+      return DecodeRunAnswer(call, ended.status, ended.body);
+    case transfer_outcome::kConnectFailed:
+      return MakeFailure(call, error_kind::kConnectFailed, state);
+    case transfer_outcome::kLost:
+      // A connection that broke before the request was written counts as one that was never made.
+      return MakeFailure(call, ended.bytes_sent ? error_kind::kConnectionLost : error_kind::kConnectFailed, state);
+    case transfer_outcome::kTruncated:
+      return MakeFailure(call, error_kind::kAnswerTruncated, state);
+    case transfer_outcome::kMalformed:
+      return MakeFailure(call, error_kind::kAnswerMalformed, state);
+    case transfer_outcome::kDeadline:
+      return MakeFailure(call, error_kind::kDeadlineExceeded, state);
+    case transfer_outcome::kCancelled:
+      break;
+  }
+  return MakeFailure(call, error_kind::kCancelled, state);
+}
+
+/// A probe that opens several connections; the first report counts.
+struct running_probe {
+  std::mutex mutex;
+  core::base::backend_server_id backend_server;
+  std::uint32_t left = 0;
+  bool reported = false;
+};
+
+}  // namespace
+
+struct backend_client::impl {
+  std::function<void(core::io::event)> post;
+  std::mutex mutex;
+  std::unordered_map<call_key, transfer_id, call_key_hash> calls;
+  transfer_pool pool;
+
+  void EndCall(const core::io::call_backend& call, const transfer_result& ended) {
+    {
+      const std::lock_guard lock(mutex);
+      calls.erase({call.entry, call.attempt});
+    }
+    attempt_result result = ToAttemptResult(call, ended);
+    result.called_us = ended.elapsed.count();
+    post(core::io::backend_call_ended{call.entry, std::move(result)});
+  }
+
+  void EndProbe(running_probe& probe, const transfer_result& ended) {
+    core::io::backend_probe_ended event{probe.backend_server, false, {}};
+    if (ended.outcome == transfer_outcome::kAnswered && ended.status == 200) {
+      const auto report = DecodeLoad(ended.body);
+      event.succeeded = report.has_value();
+      if (report.has_value()) event.report = *report;
+    }
+    {
+      const std::lock_guard lock(probe.mutex);
+      --probe.left;
+      if (probe.reported || (!event.succeeded && probe.left > 0)) return;
+      probe.reported = true;
+    }
+    post(std::move(event));
+  }
+};
+
+backend_client::backend_client(std::function<void(core::io::event)> post) : impl_(std::make_unique<impl>()) {
+  impl_->post = std::move(post);
+}
+
+backend_client::~backend_client() { Stop(); }
+
+void backend_client::Call(const core::io::call_backend& call) {
+  transfer_request request;
+  request.url = "http://" + call.address + "/v1/run";
+  request.post = true;
+  request.body = EncodeRun(call);
+  request.deadline = steady_clock::now() + call.remaining;
+  request.max_answer_bytes = kMaxBackendAnswerBytes;
+  request.write_once = !call.repeatable;
+  request.done = [this, call](const transfer_result& ended) { impl_->EndCall(call, ended); };
+  request.id = impl_->pool.NewId();
+  {
+    // Entered before the start, so that a call which ends at once does not leave an entry behind.
+    const std::lock_guard lock(impl_->mutex);
+    impl_->calls[{call.entry, call.attempt}] = request.id;
+  }
+  impl_->pool.Start(std::move(request));
+}
+
+void backend_client::Cancel(const core::io::cancel_backend_call& cancel) {
+  {
+    const std::lock_guard lock(impl_->mutex);
+    const auto found = impl_->calls.find({cancel.entry, cancel.attempt});
+    if (found == impl_->calls.end()) return;
+    impl_->pool.Cancel(found->second);
+  }
+  transfer_request request;
+  request.id = impl_->pool.NewId();
+  request.url = "http://" + cancel.address + "/v1/cancel";
+  request.post = true;
+  request.body = EncodeCancel(cancel);
+  request.deadline = steady_clock::now() + kCancelTimeout;
+  request.max_answer_bytes = kMaxLoadBytes;
+  request.done = [](const transfer_result&) {};
+  impl_->pool.Start(std::move(request));
+}
+
+void backend_client::Probe(const core::io::probe_backend& probe) {
+  auto state = std::make_shared<running_probe>();
+  state->backend_server = probe.backend_server;
+  state->left = std::max<std::uint32_t>(1, probe.connections);
+  for (std::uint32_t n = state->left; n > 0; --n) {
+    transfer_request request;
+    request.id = impl_->pool.NewId();
+    request.url = "http://" + probe.address + "/v1/load";
+    request.deadline = steady_clock::now() + kProbeTimeout;
+    request.max_answer_bytes = kMaxLoadBytes;
+    request.done = [this, state](const transfer_result& ended) { impl_->EndProbe(*state, ended); };
+    impl_->pool.Start(std::move(request));
+  }
+}
+
+void backend_client::Stop() { impl_->pool.Stop(); }
+
+}  // namespace limpetrouter::shell
--- /dev/null
+++ b/shell/backend_client.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "core/io/command.h"
+#include "core/io/event.h"
+
+namespace limpetrouter::shell {
+
+/// Calls backend servers over HTTP. Each call ends with exactly one event. Thread-safe.
+class backend_client {
+ public:
+  /// `post` takes events on the client's threads.
+  explicit backend_client(std::function<void(core::io::event)> post);
+  ~backend_client();
+  backend_client(const backend_client&) = delete;
+  backend_client& operator=(const backend_client&) = delete;
+
+  void Call(const core::io::call_backend& call);
+  /// Closes the connection of the call and tells the backend server. Does nothing if the call has ended.
+  void Cancel(const core::io::cancel_backend_call& cancel);
+  void Probe(const core::io::probe_backend& probe);
+  /// Cancels all calls.
+  void Stop();
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace limpetrouter::shell
--- /dev/null
+++ b/shell/core_loop.cc
@@ -0,0 +1,116 @@
+#include "shell/core_loop.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace limpetrouter::shell {
+namespace {
+
+using core::base::duration;
+using core::base::time_point;
+
+std::chrono::steady_clock::time_point ToSteady(time_point at) {
+  return std::chrono::steady_clock::time_point(at.time_since_epoch());
+}
+
+}  // namespace
+
+time_point CoreNow() {
+  return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+struct core_loop::impl {
+  using item = std::variant<core::io::event, task>;
+
+  core::instance::instance instance;
+  core_ports ports;
+  core::io::command_list commands;
+  time_point next_tick;
+
+  std::mutex mutex;
+  std::condition_variable ready;
+  std::vector<item> queued;
+  bool stopping = false;
+  std::thread thread;
+
+  void Add(item added) {
+    const std::lock_guard lock(mutex);
+    if (queued.empty()) ready.notify_one();
+    queued.push_back(std::move(added));
+  }
+
+  /// Waits until there is work or a tick is due. Returns false if the loop is to stop.
+  bool Take(std::vector<item>& taken) {
+    std::unique_lock lock(mutex);
+    ready.wait_until(lock, ToSteady(next_tick), [this] { return stopping || !queued.empty(); });
+    taken.swap(queued);
+    return !stopping;
+  }
+
+  void Run() {
+    std::vector<item> taken;
+    while (Take(taken)) {
+      TickIfDue();
+      for (item& each : taken) {
+        TickIfDue();
+        Handle(each);
+      }
+      taken.clear();
+    }
+  }
+
+  void TickIfDue() {
+    const time_point now = CoreNow();
+    if (now < next_tick) return;
+    ports.observe_lag(now - next_tick);
+    next_tick = now + core::instance::kTickInterval;
+    core::instance::RunTick(instance, now, commands);
+    Execute();
+  }
+
+  void Handle(item& each) {
+    if (const auto* const work = std::get_if<task>(&each); work != nullptr) return (*work)(instance, CoreNow());
+    core::instance::HandleEvent(instance, std::get<core::io::event>(each), CoreNow(), commands);
+    Execute();
+  }
+
+  void Execute() {
+    for (core::io::command& command : commands)
+      ports.execute(std::move(command));
+    commands.clear();
+  }
+};
+
+core_loop::core_loop(const core::membership::identity& self, std::uint64_t seed, core_ports ports)
+    : impl_(std::make_unique<impl>()) {
+  const time_point now = CoreNow();
+  impl_->instance = core::instance::MakeInstance(self, seed, now);
+  impl_->ports = std::move(ports);
+  impl_->next_tick = now;
+}
+
+core_loop::~core_loop() { Stop(); }
+
+void core_loop::Start() {
+  impl_->thread = std::thread([this] { impl_->Run(); });
+}
+
+void core_loop::Post(core::io::event event) { impl_->Add(std::move(event)); }
+
+void core_loop::PostTask(task work) { impl_->Add(std::move(work)); }
+
+void core_loop::Stop() {
+  {
+    const std::lock_guard lock(impl_->mutex);
+    impl_->stopping = true;
+  }
+  impl_->ready.notify_one();
+  if (impl_->thread.joinable()) impl_->thread.join();
+}
+
+}  // namespace limpetrouter::shell
--- /dev/null
+++ b/shell/core_loop.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "core/base/time.h"
+#include "core/instance/instance.h"
+#include "core/io/command.h"
+#include "core/io/event.h"
+
+namespace limpetrouter::shell {
+
+/// The steady clock as the core sees it.
+core::base::time_point CoreNow();
+
+struct core_ports {
+  /// Carries out a command. Must not block.
+  std::function<void(core::io::command&&)> execute;
+  /// How late a tick began.
+  std::function<void(core::base::duration)> observe_lag;
+};
+
+/// The one thread that owns an instance: takes events in their order and ticks every 5 ms. A tick that is due comes
+/// before any event, so that after a pause the core sees the new time before the messages that waited. Thread-safe.
+class core_loop {
+ public:
+  /// Reads the instance on the core thread.
+  using task = std::function<void(const core::instance::instance&, core::base::time_point)>;
+
+  core_loop(const core::membership::identity& self, std::uint64_t seed, core_ports ports);
+  ~core_loop();
+  core_loop(const core_loop&) = delete;
+  core_loop& operator=(const core_loop&) = delete;
+
+  void Start();
+  void Post(core::io::event event);
+  void PostTask(task work);
+  void Stop();
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace limpetrouter::shell
--- /dev/null
+++ b/shell/daemon.cc
@@ -0,0 +1,216 @@
+#include "shell/daemon.h"
+
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <random>
+#include <thread>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include "core/base/random.h"
+#include "shell/backend_client.h"
+#include "shell/core_loop.h"
+#include "shell/endpoints.h"
+#include "shell/http_server.h"
+#include "shell/json_codec.h"
+#include "shell/log.h"
+#include "shell/metrics.h"
+#include "shell/peer_links.h"
+#include "shell/platform_client.h"
+#include "shell/task_thread.h"
+
+namespace limpetrouter::shell {
+namespace {
+
+using core::base::error_kind;
+using core::base::executed_state;
+
+/// How long the last answers may take to be written to callers that read slowly.
+constexpr std::chrono::seconds kAnswerFlushTime{10};
+/// How long the last messages to other instances may take.
+constexpr std::chrono::seconds kPeerFlushTime{2};
+constexpr std::chrono::milliseconds kFlushPoll{5};
+
+/// A restarted instance must have a higher incarnation. Instances have no disk, so the wall clock orders their lives.
+core::base::incarnation_id MakeIncarnation() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return core::base::incarnation_id(
+      static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count()));
+}
+
+core::membership::identity MakeIdentity(const settings& settings) {
+  return {{core::base::instance_id(settings.name), MakeIncarnation()},
+          core::base::data_centre_id(settings.data_centre),
+          settings.advertise_peer,
+          settings.advertise_http};
+}
+
+/// Two instances that start in the same microsecond still get different seeds.
+std::uint64_t MakeSeed(const core::membership::identity& self) {
+  std::random_device device;
+  return core::base::MixHash(self.ref.incarnation.value, (static_cast<std::uint64_t>(device()) << 32U) | device());
+}
+
+template <class Condition>
+bool WaitUntil(std::chrono::milliseconds time, Condition condition) {
+  const auto end = std::chrono::steady_clock::now() + time;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() >= end) return false;
+    std::this_thread::sleep_for(kFlushPoll);
+  }
+  return true;
+}
+
+}  // namespace
+
+struct daemon::impl {
+  settings config;
+  core::membership::identity self;
+  std::uint64_t seed;
+  std::atomic<bool> left{false};
+  std::atomic<bool> leave_posted{false};
+  bool started = false;
+
+  logger log;
+  shell::metrics metrics;
+  /// Encodes and writes answers, so that large ones do not hold up the core.
+  task_thread replies;
+  core_loop core;
+  backend_client backend;
+  platform_client platform;
+  peer_links peers;
+  endpoint_ports ports;
+  http_server http;
+
+  explicit impl(const settings& s)
+      : config(s),
+        self(MakeIdentity(s)),
+        seed(MakeSeed(self)),
+        log(s.level, s.name, STDERR_FILENO),
+        core(self, seed,
+             {[this](core::io::command&& command) { Execute(std::move(command)); },
+              [this](core::base::duration lag) { metrics.TickLagged(lag); }}),
+        backend([this](core::io::event event) { PostBackendEvent(std::move(event)); }),
+        platform(
+            s, [this](core::io::event event) { core.Post(std::move(event)); },
+            [this](std::size_t bytes) { metrics.PlatformBytesReceived(bytes); }),
+        peers(s, MakePeerObserver(), log),
+        ports(MakeEndpointPorts()),
+        http(s, MakeHttpObserver()) {}
+
+  peer_observer MakePeerObserver() {
+    return {[this](core::io::event event) { core.Post(std::move(event)); },
+            [this](message_plane plane, std::size_t bytes) { metrics.PeerBytesSent(plane, bytes); },
+            [this](message_plane plane, std::size_t bytes) { metrics.PeerBytesReceived(plane, bytes); },
+            [this] { metrics.PeerMessageMalformed(); }};
+  }
+
+  endpoint_ports MakeEndpointPorts() {
+    return {[this](core::io::event event) { core.Post(std::move(event)); },
+            [this](core_loop::task work) { core.PostTask(std::move(work)); },
+            [this](core::base::reply_handle handle, http_answer answer) {
+              replies.Post([this, handle, answer = std::move(answer)] { http.Answer(handle, answer); });
+            },
+            &metrics};
+  }
+
+  http_observer MakeHttpObserver() {
+    return {
+        [this](core::base::reply_handle handle, const http_request& request) { HandleRequest(ports, handle, request); },
+        [this](core::base::reply_handle handle) { core.Post(core::io::query_abandoned{handle}); }};
+  }
+
+  void PostBackendEvent(core::io::event event) {
+    if (const auto* const ended = std::get_if<core::io::backend_call_ended>(&event); ended != nullptr) {
+      metrics.BackendCallEnded(ended->result);
+    }
+    core.Post(std::move(event));
+  }
+
+  /// Runs on the core thread.
+  void Execute(core::io::command&& command) {
+    std::visit([this](auto&& c) { Run(std::forward<decltype(c)>(c)); }, std::move(command));
+  }
+
+  void Run(core::io::reply_query&& reply) {
+    replies.Post([this, reply = std::move(reply)] {
+      const int status = reply.answer.succeeded ? 200 : core::base::DescribeError(reply.answer.failure).http_status;
+      const auto elapsed = http.Answer(reply.handle, {status, EncodeQueryAnswer(reply.answer), true});
+      if (elapsed.has_value()) metrics.QueryEnded(reply.answer, *elapsed);
+    });
+  }
+
+  void Run(core::io::reply_addresses&& reply) {
+    replies.Post([this, reply = std::move(reply)] {
+      http.Answer(reply.handle, {200, EncodeAddresses(reply.answer), true});
+    });
+  }
+
+  void Run(core::io::send_peer&& send) { peers.Send(std::move(send)); }
+  void Run(core::io::call_backend&& call) { backend.Call(call); }
+  void Run(core::io::cancel_backend_call&& cancel) { backend.Cancel(cancel); }
+  void Run(core::io::probe_backend&& probe) { backend.Probe(probe); }
+  void Run(core::io::read_configuration&& read) { platform.ReadConfiguration(read); }
+  void Run(core::io::read_instance_list&& /*read*/) { platform.ReadInstanceList(); }
+
+  void Run(core::io::log_decision&& decision) {
+    metrics.Decided(decision.decision);
+    log.Decision(decision);
+  }
+
+  void Run(core::io::exit_process&& /*exit*/) { left = true; }
+};
+
+daemon::daemon(const settings& settings) : impl_(std::make_unique<impl>(settings)) {}
+
+daemon::~daemon() { Stop(); }
+
+core::base::result<void> daemon::Start() {
+  impl& d = *impl_;
+  core::base::result<void> bound = d.peers.Start();
+  if (!bound.has_value()) return bound;
+  bound = d.http.Start();
+  if (!bound.has_value()) return bound;
+  d.core.Start();
+  d.started = true;
+  d.log.Info("start", {{"data_centre", d.config.data_centre},
+                       {"incarnation", std::to_string(d.self.ref.incarnation.value)},
+                       {"http", d.config.listen_http},
+                       {"peer", d.config.listen_peer},
+                       {"seed", std::to_string(d.seed)}});
+  return {};
+}
+
+void daemon::Leave() {
+  if (impl_->leave_posted.exchange(true)) return;
+  impl_->log.Info("leave", {});
+  impl_->core.Post(core::io::leave_requested{});
+}
+
+bool daemon::HasLeft() const { return impl_->left; }
+
+void daemon::Stop() {
+  impl& d = *impl_;
+  if (std::exchange(d.started, false)) {
+    // The core still runs, so requests that are on their way to it are answered like all before them.
+    const core::base::error leaving{error_kind::kInstanceLeaving, "the instance has ended; use another address"};
+    d.http.RefuseWith(
+        {core::base::DescribeError(leaving.kind).http_status, EncodeError(leaving, executed_state::kNo), true});
+    const bool answered = WaitUntil(kAnswerFlushTime, [&d] { return d.http.Unfinished() == 0; });
+    const bool flushed = WaitUntil(kPeerFlushTime, [&d] { return d.peers.IsFlushed(); });
+    d.log.Info("exit", {{"answers_pending", answered ? "0" : std::to_string(d.http.Unfinished())},
+                        {"peer_messages_flushed", flushed ? "yes" : "no"}});
+  }
+  // Whoever posts to another part is stopped before it.
+  d.replies.Stop();
+  d.http.Stop();
+  d.core.Stop();
+  d.backend.Stop();
+  d.platform.Stop();
+  d.peers.Stop();
+}
+
+}  // namespace limpetrouter::shell
--- /dev/null
+++ b/shell/daemon.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <memory>
+
+#include "core/base/error_kind.h"
+#include "shell/settings.h"
+
+namespace limpetrouter::shell {
+
+/// One running instance: the core thread with its HTTP server, backend client, platform client and peer links.
+class daemon {
+ public:
+  explicit daemon(const settings& settings);
+  ~daemon();
+  daemon(const daemon&) = delete;
+  daemon& operator=(const daemon&) = delete;
+
+  /// Binds the addresses and starts all threads. Fails with kInvalidSetting if an address cannot be bound.
+  core::base::result<void> Start();
+  /// Begins the graceful shutdown. Later calls do nothing.
+  void Leave();
+  /// True when the core has ended all its work.
+  bool HasLeft() const;
+  /// Writes what is pending, then ends all threads.
+  void Stop();
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace limpetrouter::shell
--- /dev/null
+++ b/shell/http_server.cc
@@ -0,0 +1,364 @@
+#include "shell/http_server.h"
+
+#include <sys/socket.h>
+
+#include <atomic>
+#include <deque>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+#include <pistache/endpoint.h>
+#include <pistache/peer.h>
+
+#include "shell/http_framing.h"
+#include "shell/json_codec.h"
+
+namespace limpetrouter::shell {
+namespace {
+
+using core::base::error_kind;
+using core::base::executed_state;
+using core::base::reply_handle;
+using std::chrono::steady_clock;
+namespace pistache_http = Pistache::Http;
+namespace pistache_tcp = Pistache::Tcp;
+
+constexpr const char* kConnectionData = "limpetrouter.connection";
+/// One time for all: Pistache measures its header and body times from the previous request of the connection, so a
+/// shorter one would cut off a request on a connection that was idle before.
+constexpr std::chrono::seconds kIdleTimeout{300};
+constexpr int kBacklog = 1024;
+
+/// A request of a connection. Answers leave in the order of the requests.
+struct exchange {
+  reply_handle handle;
+  std::unique_ptr<pistache_http::ResponseWriter> writer;
+  std::optional<http_answer> answer;
+  /// The connection is closed after the answer.
+  bool last = false;
+  steady_clock::time_point received;
+};
+
+struct connection {
+  std::weak_ptr<pistache_tcp::Peer> peer;
+  /// Bytes that are not yet a whole request. Used by the connection's thread only.
+  std::string input;
+  bool continue_sent = false;
+  /// No further input is read. Used by the connection's thread only.
+  bool finished = false;
+
+  std::mutex mutex;
+  std::deque<exchange> exchanges;
+  bool closed = false;
+  /// Answers handed to Pistache and not yet written.
+  std::size_t unwritten = 0;
+};
+
+using connection_ptr = std::shared_ptr<connection>;
+
+/// Shared by the handlers of all threads.
+struct server_state {
+  http_observer observer;
+  std::size_t max_request_bytes = 0;
+  std::size_t max_pending = 0;
+
+  std::mutex mutex;
+  std::unordered_map<reply_handle, connection_ptr> waiting;
+  std::optional<http_answer> refusal;
+  std::uint64_t next_handle = 1;
+  /// Requests without an answer, and answers that are not written yet.
+  std::atomic<std::size_t> unfinished{0};
+};
+
+http_answer MakeError(error_kind kind, int status, const std::string& detail) {
+  return {status, EncodeError({kind, detail}, executed_state::kNo), true};
+}
+
+http_answer MakeError(error_kind kind, const std::string& detail) {
+  return MakeError(kind, core::base::DescribeError(kind).http_status, detail);
+}
+
+/// An answer on its way; the callbacks are attached when no lock is held, because they may run at once.
+struct started_write {
+  Pistache::Async::Promise<ssize_t> promise;
+  bool last = false;
+};
+
+/// Hands the answers that are due to Pistache. `c.mutex` is held.
+void StartWrites(connection& c, std::vector<started_write>& writes) {
+  while (!c.exchanges.empty() && c.exchanges.front().answer.has_value()) {
+    exchange done = std::move(c.exchanges.front());
+    c.exchanges.pop_front();
+    const http_answer& answer = *done.answer;
+    const auto mime = answer.is_json ? Pistache::Http::Mime::MediaType::fromString("application/json")
+                                     : Pistache::Http::Mime::MediaType::fromString("text/plain; version=0.0.4");
+    ++c.unwritten;
+    writes.push_back(
+        {done.writer->send(static_cast<pistache_http::Code>(answer.status), answer.body, mime), done.last});
+  }
+}
+
+void FinishWrite(server_state& state, const connection_ptr& c, bool last) {
+  const std::lock_guard lock(c->mutex);
+  if (c->closed) return;
+  --c->unwritten;
+  --state.unfinished;
+  const std::shared_ptr<pistache_tcp::Peer> peer = c->peer.lock();
+  // The reading side stays open: closing it over unread input would reset the connection under the answer.
+  if (last && peer != nullptr) ::shutdown(peer->fd(), SHUT_WR);
+}
+
+void AttachCallbacks(const std::shared_ptr<server_state>& state, const connection_ptr& c,
+                     std::vector<started_write>& writes) {
+  for (started_write& write : writes) {
+    const bool last = write.last;
+    write.promise.then([state, c, last](ssize_t) { FinishWrite(*state, c, last); },
+                       [state, c](const std::exception_ptr&) { FinishWrite(*state, c, true); });
+  }
+}
+
+std::optional<core::base::duration> GiveAnswer(const std::shared_ptr<server_state>& state, reply_handle handle,
+                                               http_answer answer) {
+  connection_ptr c;
+  {
+    const std::lock_guard lock(state->mutex);
+    const auto found = state->waiting.find(handle);
+    if (found == state->waiting.end()) return std::nullopt;
+    c = std::move(found->second);
+    state->waiting.erase(found);
+  }
+  std::vector<started_write> writes;
+  core::base::duration elapsed{};
+  {
+    const std::lock_guard lock(c->mutex);
+    if (c->closed) return std::nullopt;
+    for (exchange& e : c->exchanges) {
+      if (e.handle != handle) continue;
+      e.answer = std::move(answer);
+      elapsed = std::chrono::duration_cast<core::base::duration>(steady_clock::now() - e.received);
+      break;
+    }
+    StartWrites(*c, writes);
+  }
+  AttachCallbacks(state, c, writes);
+  return elapsed;
+}
+
+bool WantsClose(const pistache_http::Request& request) {
+  const auto header = request.headers().tryGet<pistache_http::Header::Connection>();
+  if (header != nullptr) return header->control() == pistache_http::ConnectionControl::Close;
+  return request.version() == pistache_http::Version::Http10;
+}
+
+http_request ConvertRequest(const pistache_http::Request& request) {
+  http_request converted;
+  converted.method = pistache_http::methodString(request.method());
+  converted.path = request.resource();
+  for (auto it = request.query().parameters_begin(); it != request.query().parameters_end(); ++it) {
+    converted.parameters.emplace(it->first, it->second);
+  }
+  converted.body = request.body();
+  return converted;
+}
+
+/// Takes over the reading of requests from Pistache's handler, which answers faulty input in plain text by itself,
+/// drops pipelined requests, and lets answers overtake each other.
+class request_handler : public pistache_http::Handler {
+ public:
+  HTTP_PROTOTYPE(request_handler)
+
+  explicit request_handler(std::shared_ptr<server_state> state) : state_(std::move(state)) {}
+
+  void onRequest(const pistache_http::Request& /*request*/, pistache_http::ResponseWriter /*response*/) override {}
+
+  void onInput(const char* buffer, std::size_t size, const std::shared_ptr<pistache_tcp::Peer>& peer) override {
+    const connection_ptr c = ConnectionOf(peer);
+    if (c->finished) return;
+    c->input.append(buffer, size);
+    while (!c->finished && TakeRequest(c, peer)) {
+    }
+  }
+
+  /// Runs before the file descriptor is closed. Answers that still wait in Pistache's queue are written first: they
+  /// name the connection by its file descriptor alone, which the next connection may get.
+  void onDisconnection(const std::shared_ptr<pistache_tcp::Peer>& peer) override {
+    const connection_ptr c = ConnectionOf(peer);
+    std::deque<exchange> open;
+    {
+      const std::lock_guard lock(c->mutex);
+      c->closed = true;
+      open.swap(c->exchanges);
+      state_->unfinished -= open.size() + std::exchange(c->unwritten, 0);
+    }
+    transport()->flush();
+    for (const exchange& e : open) {
+      {
+        const std::lock_guard lock(state_->mutex);
+        if (state_->waiting.erase(e.handle) == 0) continue;
+      }
+      state_->observer.on_abandoned(e.handle);
+    }
+  }
+
+ private:
+  static connection_ptr ConnectionOf(const std::shared_ptr<pistache_tcp::Peer>& peer) {
+    if (auto data = peer->tryGetData(kConnectionData); data != nullptr)
+      return std::static_pointer_cast<connection>(data);
+    auto made = std::make_shared<connection>();
+    made->peer = peer;
+    peer->putData(kConnectionData, made);
+    return made;
+  }
+
+  /// Takes one request from the input. Returns false if more bytes are needed.
+  bool TakeRequest(const connection_ptr& c, const std::shared_ptr<pistache_tcp::Peer>& peer) {
+    const request_frame frame = FrameRequest(c->input, state_->max_request_bytes);
+    switch (frame.state) {
+      case request_state::kNeedsMore:
+        if (frame.expects_continue) SendContinue(*c, *peer);
+        return false;
+      case request_state::kTooLarge:
+        Refuse(c, peer, MakeError(error_kind::kRequestTooLarge, frame.detail));
+        return false;
+      case request_state::kMalformed:
+        Refuse(c, peer, MakeError(error_kind::kInvalidRequest, frame.detail));
+        return false;
+      case request_state::kWhole:
+        break;
+    }
+    Parse(c, peer, std::string_view(c->input).substr(0, frame.size));
+    c->input.erase(0, frame.size);
+    c->continue_sent = false;
+    return true;
+  }
+
+  static void SendContinue(connection& c, pistache_tcp::Peer& peer) {
+    if (std::exchange(c.continue_sent, true)) return;
+    const std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
+    peer.send(Pistache::RawBuffer(line, line.size()));
+  }
+
+  void Parse(const connection_ptr& c, const std::shared_ptr<pistache_tcp::Peer>& peer, std::string_view text) {
+    const auto parser = getParser(peer);
+    parser->reset();
+    std::string fault;
+    try {
+      const bool whole =
+          parser->feed(text.data(), text.size()) && parser->parse() == pistache_http::Private::State::Done;
+      if (!whole) fault = "the HTTP request is malformed";
+    } catch (const std::exception& e) {
+      fault = fmt::format("the HTTP request is malformed: {}", e.what());
+    }
+    if (!fault.empty()) return Refuse(c, peer, MakeError(error_kind::kInvalidRequest, fault));
+    peer->setIdle(false);
+    Accept(c, peer, parser->request);
+    parser->reset();
+  }
+
+  void Accept(const connection_ptr& c, const std::shared_ptr<pistache_tcp::Peer>& peer,
+              const pistache_http::Request& request) {
+    const bool last = WantsClose(request);
+    c->finished = last;
+    const reply_handle handle = AddExchange(c, peer, request.version(), last);
+    std::optional<http_answer> refusal;
+    {
+      const std::lock_guard lock(state_->mutex);
+      refusal = state_->refusal;
+      if (!refusal.has_value() && state_->waiting.size() > state_->max_pending) {
+        refusal = MakeError(error_kind::kOverloaded, fmt::format("{} requests are pending", state_->max_pending));
+      }
+    }
+    if (refusal.has_value()) {
+      GiveAnswer(state_, handle, std::move(*refusal));
+    } else {
+      state_->observer.on_request(handle, ConvertRequest(request));
+    }
+  }
+
+  reply_handle AddExchange(const connection_ptr& c, const std::shared_ptr<pistache_tcp::Peer>& peer,
+                           pistache_http::Version version, bool last) {
+    auto writer = std::make_unique<pistache_http::ResponseWriter>(version, transport(), this, peer);
+    writer->headers().add<pistache_http::Header::Connection>(last ? pistache_http::ConnectionControl::Close
+                                                                  : pistache_http::ConnectionControl::KeepAlive);
+    reply_handle handle;
+    {
+      const std::lock_guard lock(state_->mutex);
+      handle = reply_handle(state_->next_handle++);
+      state_->waiting.emplace(handle, c);
+    }
+    ++state_->unfinished;
+    const std::lock_guard lock(c->mutex);
+    c->exchanges.push_back({handle, std::move(writer), std::nullopt, last, steady_clock::now()});
+    return handle;
+  }
+
+  /// Answers input that is no request, and closes the connection: where the next request begins is not known.
+  void Refuse(const connection_ptr& c, const std::shared_ptr<pistache_tcp::Peer>& peer, http_answer answer) {
+    c->finished = true;
+    GiveAnswer(state_, AddExchange(c, peer, pistache_http::Version::Http11, true), std::move(answer));
+  }
+
+  std::shared_ptr<server_state> state_;
+};
+
+}  // namespace
+
+struct http_server::impl {
+  std::string address;
+  std::uint32_t threads = 1;
+  std::shared_ptr<server_state> state = std::make_shared<server_state>();
+  std::unique_ptr<pistache_http::Endpoint> endpoint;
+};
+
+http_server::http_server(const settings& settings, http_observer observer) : impl_(std::make_unique<impl>()) {
+  impl_->address = settings.listen_http;
+  impl_->threads = settings.threads;
+  impl_->state->observer = std::move(observer);
+  impl_->state->max_request_bytes = settings.max_request_bytes;
+  impl_->state->max_pending = settings.max_pending_requests;
+}
+
+http_server::~http_server() { Stop(); }
+
+core::base::result<void> http_server::Start() {
+  try {
+    impl_->endpoint = std::make_unique<pistache_http::Endpoint>(Pistache::Address(impl_->address));
+    auto options = pistache_http::Endpoint::options();
+    options.threads(static_cast<int>(impl_->threads))
+        .flags(pistache_tcp::Options::ReuseAddr | pistache_tcp::Options::NoDelay)
+        .backlog(kBacklog)
+        .maxRequestSize(impl_->state->max_request_bytes)
+        .headerTimeout(kIdleTimeout)
+        .bodyTimeout(kIdleTimeout)
+        .keepaliveTimeout(kIdleTimeout);
+    impl_->endpoint->init(options);
+    impl_->endpoint->setHandler(std::make_shared<request_handler>(impl_->state));
+    impl_->endpoint->serveThreaded();
+  } catch (const std::exception& e) {
+    impl_->endpoint.reset();
+    return core::base::Fail(error_kind::kInvalidSetting,
+                            fmt::format("listen.http: cannot listen on {}: {}", impl_->address, e.what()));
+  }
+  return {};
+}
+
+std::optional<core::base::duration> http_server::Answer(reply_handle handle, http_answer answer) {
+  return GiveAnswer(impl_->state, handle, std::move(answer));
+}
+
+void http_server::RefuseWith(http_answer answer) {
+  const std::lock_guard lock(impl_->state->mutex);
+  impl_->state->refusal = std::move(answer);
+}
+
+std::size_t http_server::Unfinished() const { return impl_->state->unfinished; }
+
+void http_server::Stop() {
+  if (impl_->endpoint == nullptr) return;
+  impl_->endpoint->shutdown();
+  impl_->endpoint.reset();
+}
+
+}  // namespace limpetrouter::shell
--- /dev/null
+++ b/shell/http_server.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "core/base/error_kind.h"
+#include "core/base/strong_id.h"
+#include "core/base/time.h"
+#include "shell/settings.h"
+
+namespace limpetrouter::shell {
+
+struct http_request {
+  std::string method;
+  std::string path;
+  /// Decoded query parameters.
+  std::unordered_map<std::string, std::string> parameters;
+  std::string body;
+};
+
+struct http_answer {
+  int status = 200;
+  std::string body;
+  bool is_json = true;
+};
+
+/// Told on the server's threads.
+struct http_observer {
+  /// Every request needs exactly one `http_server::Answer`, now or later, on any thread.
+  std::function<void(core::base::reply_handle, http_request)> on_request;
+  /// The connection closed before the answer was given.
+  std::function<void(core::base::reply_handle)> on_abandoned;
+};
+
+/// HTTP/1.1 server. Answers of one connection leave in the order of its requests, and never reach another connection.
+/// Thread-safe.
+class http_server {
+ public:
+  http_server(const settings& settings, http_observer observer);
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+
+  /// Fails with kInvalidSetting if the address cannot be bound.
+  core::base::result<void> Start();
+  /// Returns the time since the request, or nothing if its caller is gone.
+  std::optional<core::base::duration> Answer(core::base::reply_handle handle, http_answer answer);
+  /// Answers all later requests with `answer`.
+  void RefuseWith(http_answer answer);
+  /// Requests without an answer, and answers that are not written yet.
+  std::size_t Unfinished() const;
+  void Stop();
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace limpetrouter::shell
--- /dev/null
+++ b/shell/main.cc
@@ -0,0 +1,155 @@
+#include <popt.h>
+#include <sys/resource.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <memory>
+#include <string>
+
+#include <fmt/format.h>
+
+#include "shell/daemon.h"
+#include "shell/settings.h"
+#include "shell/version.h"
+
+namespace limpetrouter::shell {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitUsage = 1;
+constexpr int kExitSettings = 2;
+constexpr int kExitListen = 3;
+constexpr int kExitInternal = 4;
+
+constexpr const char* kHelpFooter =
+    "\n"
+    "The settings file is INI; every fault is printed with its line, key and allowed values.\n"
+    "SIGTERM or SIGINT begins a graceful shutdown: the instance serves until no caller can\n"
+    "still hold its address and all its work has ended. A second signal does not shorten it.\n"
+    "\n"
+    "Exit codes:\n"
+    "  0  the graceful shutdown is complete, or --check found no fault\n"
+    "  1  wrong command line\n"
+    "  2  the settings are invalid\n"
+    "  3  an address cannot be listened on\n"
+    "  4  internal error\n";
+
+struct options {
+  std::string config;
+  bool check = false;
+  bool version = false;
+  bool help = false;
+};
+
+struct context_deleter {
+  void operator()(poptContext_s* context) const { poptFreeContext(context); }
+};
+
+/// Parses the command line. Returns false, with a message printed, if it is wrong.
+bool ParseOptions(int argc, const char** argv, options& out) {
+  char* config = nullptr;
+  int check = 0;
+  int version = 0;
+  int help = 0;
+  const poptOption table[] = {{"config", 'c', POPT_ARG_STRING, &config, 0, "Settings file (required)", "FILE"},
+                              {"check", '\0', POPT_ARG_NONE, &check, 0, "Check the settings and exit", nullptr},
+                              {"version", '\0', POPT_ARG_NONE, &version, 0, "Print the version and exit", nullptr},
+                              {"help", 'h', POPT_ARG_NONE, &help, 0, "Print this help and exit", nullptr},
+                              POPT_TABLEEND};
+  const std::unique_ptr<poptContext_s, context_deleter> context(poptGetContext("limpetrouterd", argc, argv, table, 0));
+  const int result = poptGetNextOpt(context.get());
+  if (config != nullptr) out.config = config;
+  std::free(config);
+  out.check = check != 0;
+  out.version = version != 0;
+  out.help = help != 0;
+  if (result < -1) {
+    fmt::print(stderr, "limpetrouterd: {}: {}\n", poptBadOption(context.get(), POPT_BADOPTION_NOALIAS),
+               poptStrerror(result));
+    return false;
+  }
+  if (const char* extra = poptPeekArg(context.get()); extra != nullptr) {
+    fmt::print(stderr, "limpetrouterd: unexpected argument \"{}\"\n", extra);
+    return false;
+  }
+  if (out.help) {
+    poptPrintHelp(context.get(), stdout, 0);
+    std::fputs(kHelpFooter, stdout);
+  } else if (!out.version && out.config.empty()) {
+    fmt::print(stderr, "limpetrouterd: --config FILE is missing; see --help\n");
+    return false;
+  }
+  return true;
+}
+
+/// Connections are one file descriptor each; the usual soft limit of 1024 is too low for a gatherer.
+void RaiseFileLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+/// Blocks the signals of a shutdown in this thread and those it starts, so that only `sigtimedwait` sees them.
+sigset_t BlockSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+int RunDaemon(const settings& settings) {
+  const sigset_t signals = BlockSignals();
+  RaiseFileLimit();
+  daemon running(settings);
+  const core::base::result<void> started = running.Start();
+  if (!started.has_value()) {
+    fmt::print(stderr, "limpetrouterd: {}\n", started.error().detail);
+    return started.error().kind == core::base::error_kind::kInvalidSetting ? kExitListen : kExitInternal;
+  }
+  constexpr timespec kPoll{0, 20'000'000};
+  while (!running.HasLeft()) {
+    const int signal = sigtimedwait(&signals, nullptr, &kPoll);
+    if (signal == SIGTERM || signal == SIGINT) running.Leave();
+  }
+  running.Stop();
+  return kExitOk;
+}
+
+int Run(int argc, const char** argv) {
+  options chosen;
+  if (!ParseOptions(argc, argv, chosen)) return kExitUsage;
+  if (chosen.help) return kExitOk;
+  if (chosen.version) {
+    fmt::print("limpetrouterd {}\n", kVersion);
+    return kExitOk;
+  }
+  const settings_result read = ReadSettings(chosen.config);
+  if (!read.has_value()) {
+    for (const setting_problem& problem : read.error())
+      fmt::print(stderr, "{}\n", ToString(problem));
+    return kExitSettings;
+  }
+  if (chosen.check) {
+    fmt::print("{}: no fault found\n", chosen.config);
+    return kExitOk;
+  }
+  return RunDaemon(*read);
+}
+
+}  // namespace
+}  // namespace limpetrouter::shell
+
+int main(int argc, const char** argv) {
+  try {
+    return limpetrouter::shell::Run(argc, argv);
+  } catch (const std::exception& e) {
+    fmt::print(stderr, "limpetrouterd: internal error: {}\n", e.what());
+    return limpetrouter::shell::kExitInternal;
+  }
+}
--- /dev/null
+++ b/shell/metrics.cc
@@ -0,0 +1,204 @@
+#include "shell/metrics.h"
+
+#include <array>
+#include <map>
+#include <mutex>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace limpetrouter::shell {
+namespace {
+
+using core::peer::member_state;
+using prometheus::Counter;
+using prometheus::Gauge;
+using prometheus::Histogram;
+
+const std::vector<double>& LatencyBuckets() {
+  static const std::vector<double> buckets = {0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2,
+                                              0.25,  0.3,   0.37,  0.5,  0.75, 1,    2,   5,    10};
+  return buckets;
+}
+
+const std::vector<double>& LagBuckets() {
+  static const std::vector<double> buckets = {0.0001, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.05, 0.1, 1, 10};
+  return buckets;
+}
+
+const std::vector<double>& CoverageBuckets() {
+  static const std::vector<double> buckets = {0, 0.5, 0.9, 0.95, 0.99, 0.999, 0.9999, 0.99999, 1};
+  return buckets;
+}
+
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+double ToSeconds(core::base::duration span) { return static_cast<double>(span.count()) / kMicrosecondsPerSecond; }
+
+std::string_view NameOf(member_state state) {
+  switch (state) {
+    case member_state::kAlive:
+      return "alive";
+    case member_state::kLeaving:
+      return "leaving";
+    case member_state::kSuspect:
+      return "suspect";
+    case member_state::kDead:
+      break;
+  }
+  return "dead";
+}
+
+std::string Outcome(bool succeeded, core::base::error_kind failure) {
+  return succeeded ? "ok" : std::string(core::base::ToString(failure));
+}
+
+template <class Family>
+auto& Labelled(Family& family, const char* label, const std::string& value) {
+  return family.Add({{label, value}});
+}
+
+}  // namespace
+
+struct metrics::impl {
+  prometheus::Registry registry;
+
+  prometheus::Family<Counter>& queries = prometheus::BuildCounter()
+                                             .Name("limpetrouter_queries_total")
+                                             .Help("Answered queries by outcome.")
+                                             .Register(registry);
+  prometheus::Family<Counter>& refusals = prometheus::BuildCounter()
+                                              .Name("limpetrouter_refusals_total")
+                                              .Help("Refused queries by what the refusal says about execution.")
+                                              .Register(registry);
+  Histogram& latency = prometheus::BuildHistogram()
+                           .Name("limpetrouter_query_seconds")
+                           .Help("Time from request to answer.")
+                           .Register(registry)
+                           .Add({}, LatencyBuckets());
+  Histogram& coverage = prometheus::BuildHistogram()
+                            .Name("limpetrouter_query_coverage")
+                            .Help("Share of documents answered, of successful queries.")
+                            .Register(registry)
+                            .Add({}, CoverageBuckets());
+  prometheus::Family<Counter>& backend_calls = prometheus::BuildCounter()
+                                                   .Name("limpetrouter_backend_calls_total")
+                                                   .Help("Calls to backend servers by outcome.")
+                                                   .Register(registry);
+  Histogram& backend_latency = prometheus::BuildHistogram()
+                                   .Name("limpetrouter_backend_call_seconds")
+                                   .Help("Time of calls to backend servers.")
+                                   .Register(registry)
+                                   .Add({}, LatencyBuckets());
+  prometheus::Family<Counter>& decisions =
+      prometheus::BuildCounter()
+          .Name("limpetrouter_decisions_total")
+          .Help("Decisions by name, hedges and retries among them; each is one log line.")
+          .Register(registry);
+  prometheus::Family<Counter>& peer_bytes = prometheus::BuildCounter()
+                                                .Name("limpetrouter_peer_bytes_total")
+                                                .Help("Message bytes to and from other instances.")
+                                                .Register(registry);
+  Counter& malformed = prometheus::BuildCounter()
+                           .Name("limpetrouter_peer_messages_malformed_total")
+                           .Help("Datagrams and frames that are not a message.")
+                           .Register(registry)
+                           .Add({});
+  Counter& platform_bytes = prometheus::BuildCounter()
+                                .Name("limpetrouter_platform_bytes_received_total")
+                                .Help("Body bytes from the configuration service and the instance list.")
+                                .Register(registry)
+                                .Add({});
+  Histogram& tick_lag = prometheus::BuildHistogram()
+                            .Name("limpetrouter_tick_lag_seconds")
+                            .Help("How late ticks of the core begin.")
+                            .Register(registry)
+                            .Add({}, LagBuckets());
+  prometheus::Family<Gauge>& members =
+      prometheus::BuildGauge().Name("limpetrouter_members").Help("Other instances by state.").Register(registry);
+  Gauge& revision = prometheus::BuildGauge()
+                        .Name("limpetrouter_configuration_revision")
+                        .Help("Configuration revision in force; 0 if none.")
+                        .Register(registry)
+                        .Add({});
+  Gauge& leaving = prometheus::BuildGauge()
+                       .Name("limpetrouter_leaving")
+                       .Help("1 while the instance shuts down.")
+                       .Register(registry)
+                       .Add({});
+
+  /// `peer_bytes` by direction and plane; looked up once because messages are frequent.
+  std::array<std::array<Counter*, 2>, 2> bytes_by_plane{};
+
+  impl() {
+    const std::array<const char*, 2> directions = {"sent", "received"};
+    const std::array<const char*, 2> planes = {"data", "control"};
+    for (std::size_t d = 0; d < directions.size(); ++d) {
+      for (std::size_t p = 0; p < planes.size(); ++p) {
+        bytes_by_plane[d][p] = &peer_bytes.Add({{"direction", directions[d]}, {"plane", planes[p]}});
+      }
+    }
+    // Present from the start, so that a rate over them begins at 0.
+    for (const char* decision : {"hedge", "retry", "refuse", "route"})
+      Labelled(decisions, "decision", decision);
+    Labelled(queries, "outcome", "ok");
+    Labelled(backend_calls, "outcome", "ok");
+  }
+};
+
+metrics::metrics() : impl_(std::make_unique<impl>()) {}
+
+metrics::~metrics() = default;
+
+void metrics::QueryEnded(const core::peer::query_answer& answer, core::base::duration elapsed) {
+  Labelled(impl_->queries, "outcome", Outcome(answer.succeeded, answer.failure)).Increment();
+  impl_->latency.Observe(ToSeconds(elapsed));
+  if (!answer.succeeded) {
+    Labelled(impl_->refusals, "executed", std::string(core::base::ToString(answer.executed))).Increment();
+    return;
+  }
+  if (answer.coverage.documents_total == 0) return;
+  impl_->coverage.Observe(static_cast<double>(answer.coverage.documents_answered) /
+                          static_cast<double>(answer.coverage.documents_total));
+}
+
+void metrics::BackendCallEnded(const core::peer::attempt_result& result) {
+  Labelled(impl_->backend_calls, "outcome", Outcome(result.succeeded, result.failure)).Increment();
+  impl_->backend_latency.Observe(ToSeconds(core::base::duration(result.called_us)));
+}
+
+void metrics::Decided(const std::string& decision) { Labelled(impl_->decisions, "decision", decision).Increment(); }
+
+void metrics::PeerBytesSent(message_plane plane, std::size_t bytes) {
+  impl_->bytes_by_plane[0][static_cast<std::size_t>(plane)]->Increment(static_cast<double>(bytes));
+}
+
+void metrics::PeerBytesReceived(message_plane plane, std::size_t bytes) {
+  impl_->bytes_by_plane[1][static_cast<std::size_t>(plane)]->Increment(static_cast<double>(bytes));
+}
+
+void metrics::PeerMessageMalformed() { impl_->malformed.Increment(); }
+
+void metrics::PlatformBytesReceived(std::size_t bytes) { impl_->platform_bytes.Increment(static_cast<double>(bytes)); }
+
+void metrics::TickLagged(core::base::duration lag) { impl_->tick_lag.Observe(ToSeconds(lag)); }
+
+void metrics::Observe(const core::instance::instance& instance) {
+  std::map<member_state, std::size_t> counts = {
+      {member_state::kAlive, 0}, {member_state::kLeaving, 0}, {member_state::kSuspect, 0}, {member_state::kDead, 0}};
+  for (const auto& [id, member] : instance.membership.members.members)
+    ++counts[member.info.state];
+  for (const auto& [state, count] : counts) {
+    Labelled(impl_->members, "state", std::string(NameOf(state))).Set(static_cast<double>(count));
+  }
+  const auto& config = instance.membership.store.in_force;
+  impl_->revision.Set(config == nullptr ? 0 : static_cast<double>(config->revision.value));
+  impl_->leaving.Set(instance.leaving ? 1 : 0);
+}
+
+std::string metrics::Text() const { return prometheus::TextSerializer().Serialize(impl_->registry.Collect()); }
+
+}  // namespace limpetrouter::shell
--- /dev/null
+++ b/shell/metrics.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/base/time.h"
+#include "core/instance/instance.h"
+#include "core/peer/messages.h"
+#include "shell/peer_links.h"
+
+namespace limpetrouter::shell {
+
+/// The Prometheus metrics of an instance. Thread-safe.
+class metrics {
+ public:
+  metrics();
+  ~metrics();
+  metrics(const metrics&) = delete;
+  metrics& operator=(const metrics&) = delete;
+
+  void QueryEnded(const core::peer::query_answer& answer, core::base::duration elapsed);
+  void BackendCallEnded(const core::peer::attempt_result& result);
+  /// Hedges, retries and refusals are among the decisions of the core.
+  void Decided(const std::string& decision);
+  void PeerBytesSent(message_plane plane, std::size_t bytes);
+  void PeerBytesReceived(message_plane plane, std::size_t bytes);
+  void PeerMessageMalformed();
+  void PlatformBytesReceived(std::size_t bytes);
+  void TickLagged(core::base::duration lag);
+  /// Members and revision, read on the core thread.
+  void Observe(const core::instance::instance& instance);
+
+  /// Prometheus text format.
+  std::string Text() const;
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace limpetrouter::shell
--- a/shell/settings.h
+++ b/shell/settings.h
@@ -54,7 +54,7 @@
   /// Largest HTTP request, header included.
   std::size_t max_request_bytes = 128 * 1024;
   /// Messages that wait for one peer connection, in bytes.
-  std::size_t max_peer_queue_bytes = 64 * 1024 * 1024;
+  std::size_t max_peer_queue_bytes = 16 * 1024 * 1024;
   /// Connections accepted from other instances.
   std::uint32_t max_peer_connections = 2'000;
   /// HTTP requests that wait for their answer.
--- /dev/null
+++ b/shell/transfer_pool.cc
@@ -0,0 +1,298 @@
+#include "shell/transfer_pool.h"
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <curl/curl.h>
+
+namespace limpetrouter::shell {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// A backend server that does not accept a connection within this time is treated as unreachable, so that a read can
+/// still be tried elsewhere before its deadline.
+constexpr milliseconds kConnectTimeout{500};
+/// Idle connections beyond this number are closed. Above the connections that one instance may hold.
+constexpr long kMaxIdleConnections = 16'384;
+/// Idle connections are not reused after this time, in seconds, and are closed.
+constexpr long kMaxIdleSeconds = 60;
+constexpr int kPollTimeoutMs = 1'000;
+
+/// Initialises libcurl before the first thread uses it.
+void InitialiseCurl() {
+  static const CURLcode result = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(result);
+}
+
+/// One running transfer. libcurl keeps a pointer to it.
+struct transfer {
+  transfer_request request;
+  transfer_result result;
+  CURL* handle = nullptr;
+  steady_clock::time_point started;
+  /// How often libcurl was about to write the request.
+  int writes = 0;
+  bool too_large = false;
+  bool deadline_passed = false;
+};
+
+std::size_t OnBody(char* data, std::size_t size, std::size_t count, void* pointer) {
+  auto& t = *static_cast<transfer*>(pointer);
+  const std::size_t bytes = size * count;
+  if (t.result.body.size() + bytes > t.request.max_answer_bytes) {
+    t.too_large = true;
+    return 0;
+  }
+  t.result.body.append(data, bytes);
+  return bytes;
+}
+
+/// Runs when the connection stands, right before the request is written. A process that was paused while it connected
+/// must not start a call whose deadline has passed.
+int OnBeforeWrite(void* pointer, char* /*peer_ip*/, char* /*own_ip*/, int /*peer_port*/, int /*own_port*/) {
+  auto& t = *static_cast<transfer*>(pointer);
+  if (t.writes > 0 && t.request.write_once) return CURL_PREREQFUNC_ABORT;
+  if (steady_clock::now() >= t.request.deadline) {
+    t.deadline_passed = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  ++t.writes;
+  return CURL_PREREQFUNC_OK;
+}
+
+transfer_outcome OutcomeOf(const transfer& t, CURLcode code) {
+  switch (code) {
+    case CURLE_OK:
+      return transfer_outcome::kAnswered;
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+    case CURLE_URL_MALFORMAT:
+      return transfer_outcome::kConnectFailed;
+    case CURLE_OPERATION_TIMEDOUT:
+      // libcurl uses the same code for its connect timeout and for the whole transfer.
+      if (t.writes == 0 && steady_clock::now() < t.request.deadline) return transfer_outcome::kConnectFailed;
+      return transfer_outcome::kDeadline;
+    case CURLE_ABORTED_BY_CALLBACK:
+      return t.deadline_passed ? transfer_outcome::kDeadline : transfer_outcome::kLost;
+    case CURLE_PARTIAL_FILE:
+      return transfer_outcome::kTruncated;
+    case CURLE_WRITE_ERROR:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+    case CURLE_WEIRD_SERVER_REPLY:
+    case CURLE_BAD_CONTENT_ENCODING:
+      return transfer_outcome::kMalformed;
+    default:
+      return t.result.body.empty() ? transfer_outcome::kLost : transfer_outcome::kTruncated;
+  }
+}
+
+}  // namespace
+
+std::string_view ToString(transfer_outcome outcome) {
+  switch (outcome) {
+    case transfer_outcome::kAnswered:
+      return "answered";
+    case transfer_outcome::kConnectFailed:
+      return "no connection";
+    case transfer_outcome::kLost:
+      return "the connection broke";
+    case transfer_outcome::kTruncated:
+      return "the answer was cut short";
+    case transfer_outcome::kMalformed:
+      return "the answer is not HTTP or too large";
+    case transfer_outcome::kDeadline:
+      return "no answer in time";
+    case transfer_outcome::kCancelled:
+      break;
+  }
+  return "cancelled";
+}
+
+struct transfer_pool::impl {
+  CURLM* multi = nullptr;
+  curl_slist* post_headers = nullptr;
+  std::thread thread;
+
+  std::atomic<transfer_id> next_id{1};
+
+  std::mutex mutex;
+  std::vector<std::unique_ptr<transfer>> queued;
+  std::vector<transfer_id> cancelled;
+  bool stopping = false;
+
+  /// Used by the pool's thread only.
+  std::unordered_map<transfer_id, std::unique_ptr<transfer>> running;
+  std::vector<CURL*> spare_handles;
+
+  void Wake(bool was_idle) const {
+    if (was_idle) curl_multi_wakeup(multi);
+  }
+
+  void Run() {
+    bool stop = false;
+    while (!stop) {
+      stop = TakeQueued();
+      int still_running = 0;
+      curl_multi_perform(multi, &still_running);
+      TakeEnded();
+      if (!stop) curl_multi_poll(multi, nullptr, 0, kPollTimeoutMs, nullptr);
+    }
+    while (!running.empty())
+      End(running.begin()->first, transfer_outcome::kCancelled);
+  }
+
+  /// Starts and cancels what other threads asked for. Returns true if the pool is to stop.
+  bool TakeQueued() {
+    std::vector<std::unique_ptr<transfer>> fresh;
+    std::vector<transfer_id> stale;
+    bool stop = false;
+    {
+      const std::lock_guard lock(mutex);
+      fresh.swap(queued);
+      stale.swap(cancelled);
+      stop = stopping;
+    }
+    for (std::unique_ptr<transfer>& t : fresh)
+      Begin(std::move(t));
+    for (const transfer_id id : stale)
+      End(id, transfer_outcome::kCancelled);
+    return stop;
+  }
+
+  void Begin(std::unique_ptr<transfer> owned) {
+    transfer& t = *owned;
+    running.emplace(t.request.id, std::move(owned));
+    const auto left = std::chrono::ceil<milliseconds>(t.request.deadline - steady_clock::now());
+    if (left.count() <= 0) return End(t.request.id, transfer_outcome::kDeadline);
+    t.handle = TakeHandle();
+    SetOptions(t, left);
+    curl_multi_add_handle(multi, t.handle);
+  }
+
+  CURL* TakeHandle() {
+    if (spare_handles.empty()) return curl_easy_init();
+    CURL* handle = spare_handles.back();
+    spare_handles.pop_back();
+    return handle;
+  }
+
+  void SetOptions(transfer& t, milliseconds left) const {
+    CURL* h = t.handle;
+    curl_easy_setopt(h, CURLOPT_URL, t.request.url.c_str());
+    curl_easy_setopt(h, CURLOPT_PRIVATE, &t);
+    curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
+    // Backend servers are addressed by IP number; a proxy from the environment must not come between.
+    curl_easy_setopt(h, CURLOPT_PROXY, "");
+    curl_easy_setopt(h, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(h, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, static_cast<long>(left.count()));
+    curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::min(left, kConnectTimeout).count()));
+    curl_easy_setopt(h, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
+    curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, &OnBody);
+    curl_easy_setopt(h, CURLOPT_WRITEDATA, &t);
+    curl_easy_setopt(h, CURLOPT_PREREQFUNCTION, &OnBeforeWrite);
+    curl_easy_setopt(h, CURLOPT_PREREQDATA, &t);
+    if (t.request.post) {
+      curl_easy_setopt(h, CURLOPT_HTTPHEADER, post_headers);
+      curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(t.request.body.size()));
+      curl_easy_setopt(h, CURLOPT_POSTFIELDS, t.request.body.data());
+    }
+    if (t.request.write_once) {
+      curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt(h, CURLOPT_FORBID_REUSE, 1L);
+    }
+  }
+
+  void TakeEnded() {
+    int left = 0;
+    while (const CURLMsg* message = curl_multi_info_read(multi, &left)) {
+      if (message->msg != CURLMSG_DONE) continue;
+      transfer* t = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &t);
+      long status = 0;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE, &status);
+      t->result.status = static_cast<int>(status);
+      End(t->request.id, t->too_large ? transfer_outcome::kMalformed : OutcomeOf(*t, message->data.result));
+    }
+  }
+
+  void End(transfer_id id, transfer_outcome outcome) {
+    const auto found = running.find(id);
+    if (found == running.end()) return;
+    const std::unique_ptr<transfer> t = std::move(found->second);
+    running.erase(found);
+    if (t->handle != nullptr) {
+      // Removing a handle in the middle of its transfer closes the connection, so a late answer reaches nobody.
+      curl_multi_remove_handle(multi, t->handle);
+      curl_easy_reset(t->handle);
+      spare_handles.push_back(t->handle);
+    }
+    t->result.outcome = outcome;
+    t->result.bytes_sent = t->writes > 0;
+    t->result.elapsed = std::chrono::duration_cast<std::chrono::microseconds>(steady_clock::now() - t->started);
+    t->request.done(std::move(t->result));
+  }
+};
+
+transfer_pool::transfer_pool() : impl_(std::make_unique<impl>()) {
+  InitialiseCurl();
+  impl_->multi = curl_multi_init();
+  curl_multi_setopt(impl_->multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
+  impl_->post_headers = curl_slist_append(impl_->post_headers, "Content-Type: application/json");
+  // Without this, libcurl waits up to a second for a "100 Continue" before it sends a larger body.
+  impl_->post_headers = curl_slist_append(impl_->post_headers, "Expect:");
+  impl_->thread = std::thread([this] { impl_->Run(); });
+}
+
+transfer_pool::~transfer_pool() {
+  Stop();
+  for (CURL* handle : impl_->spare_handles)
+    curl_easy_cleanup(handle);
+  curl_multi_cleanup(impl_->multi);
+  curl_slist_free_all(impl_->post_headers);
+}
+
+transfer_id transfer_pool::NewId() { return impl_->next_id.fetch_add(1, std::memory_order_relaxed); }
+
+void transfer_pool::Start(transfer_request request) {
+  auto t = std::make_unique<transfer>();
+  t->request = std::move(request);
+  t->started = steady_clock::now();
+  std::unique_lock lock(impl_->mutex);
+  if (impl_->stopping) {
+    lock.unlock();
+    t->request.done(std::move(t->result));
+    return;
+  }
+  const bool was_idle = impl_->queued.empty() && impl_->cancelled.empty();
+  impl_->queued.push_back(std::move(t));
+  lock.unlock();
+  impl_->Wake(was_idle);
+}
+
+void transfer_pool::Cancel(transfer_id id) {
+  std::unique_lock lock(impl_->mutex);
+  if (impl_->stopping) return;
+  const bool was_idle = impl_->queued.empty() && impl_->cancelled.empty();
+  impl_->cancelled.push_back(id);
+  lock.unlock();
+  impl_->Wake(was_idle);
+}
+
+void transfer_pool::Stop() {
+  {
+    const std::lock_guard lock(impl_->mutex);
+    impl_->stopping = true;
+  }
+  curl_multi_wakeup(impl_->multi);
+  if (impl_->thread.joinable()) impl_->thread.join();
+}
+
+}  // namespace limpetrouter::shell
--- /dev/null
+++ b/shell/transfer_pool.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace limpetrouter::shell {
+
+/// How a transfer ended.
+enum class transfer_outcome : std::uint8_t {
+  /// A whole HTTP answer of any status.
+  kAnswered,
+  /// No connection.
+  kConnectFailed,
+  /// The connection broke before the first byte of the answer's body.
+  kLost,
+  /// The connection broke within the answer's body.
+  kTruncated,
+  /// The answer is not HTTP or exceeds its size limit.
+  kMalformed,
+  kDeadline,
+  kCancelled,
+};
+
+std::string_view ToString(transfer_outcome outcome);
+
+struct transfer_result {
+  transfer_outcome outcome = transfer_outcome::kCancelled;
+  /// False only if no byte of the request left this process.
+  bool bytes_sent = false;
+  int status = 0;
+  std::string body;
+  std::chrono::microseconds elapsed{};
+};
+
+using transfer_id = std::uint64_t;
+
+struct transfer_request {
+  /// From `NewId`.
+  transfer_id id = 0;
+  std::string url;
+  /// POST with this body as JSON, or GET.
+  bool post = false;
+  std::string body;
+  std::chrono::steady_clock::time_point deadline;
+  std::size_t max_answer_bytes = 0;
+  /// The request must not be written twice. libcurl writes a request again by itself when a reused connection turns out
+  /// to be dead, so such a request gets a connection of its own, and a second write is prevented.
+  bool write_once = false;
+  /// Called exactly once, on the pool's thread, or on the caller's if the pool has stopped.
+  std::function<void(transfer_result&&)> done;
+};
+
+/// Runs HTTP requests on one thread with libcurl's multi interface. Connections are kept and reused. Thread-safe.
+class transfer_pool {
+ public:
+  transfer_pool();
+  /// Ends running transfers as cancelled.
+  ~transfer_pool();
+  transfer_pool(const transfer_pool&) = delete;
+  transfer_pool& operator=(const transfer_pool&) = delete;
+
+  transfer_id NewId();
+  void Start(transfer_request request);
+  /// Ends a transfer as cancelled and closes its connection. Does nothing if it has ended.
+  void Cancel(transfer_id id);
+  /// Cancels everything and ends the thread. Later requests end as cancelled at once, on the caller's thread.
+  void Stop();
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace limpetrouter::shell
