--- a/tests/standins/generate_deployment.cc
+++ b/tests/standins/generate_deployment.cc
@@ -270,9 +270,10 @@
 
 void WriteSettings(const std::string& path, const instance_entry& instance, const std::string& platform) {
   std::ofstream file(path);
-  file << "[instance]\nid = " << instance.id << "\ndata_centre = " << instance.data_centre
-       << "\nhttp_address = " << instance.http_address << "\npeer_address = " << instance.peer_address
-       << "\n\n[platform]\nconfiguration_address = " << platform << "\ninstance_list_address = " << platform << "\n";
+  file << "[instance]\nname = " << instance.id << "\ndata_centre = " << instance.data_centre
+       << "\n\n[listen]\nhttp = " << instance.http_address << "\npeer = " << instance.peer_address
+       << "\nthreads = 2\n\n[platform]\nconfiguration_url = http://" << platform
+       << "/v1/configuration\ninstance_list_url = http://" << platform << "/v1/instances\n";
   if (!file.flush()) throw std::runtime_error("cannot write " + path);
 }
 
