--- a/tests/scenario/main.cc
+++ b/tests/scenario/main.cc
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include "tests/scenario/measure.h"
 #include "tests/scenario/mix.h"
 #include "tests/scenario/script.h"
 
@@ -59,6 +60,9 @@
     }
     if (report.violations.size() > kShown) fmt::print("  ... {} violations\n", report.violations.size());
   }
+  for (const auto& [kind, count] : Measure(*outcome.final_world, {}).refusals) {
+    fmt::print("  refusals: {} {}\n", kind, count);
+  }
   for (const std::string& unmet : outcome.unmet)
     fmt::print("  not met: {}\n", unmet);
 }
