--- a/core/gather/slots.cc
+++ b/core/gather/slots.cc
@@ -63,8 +63,9 @@
 base::duration EstimateWait(const holding& holding, bool urgent, base::time_point now) {
   const std::uint32_t usable = urgent ? UsableSlots(holding.slots) : NormalSlots(holding, now);
   const std::size_t ahead = holding.urgent.size + (urgent ? 0 : holding.normal.size);
-  if (ahead == 0 && holding.running.size() < usable) return {};
-  const double rounds = static_cast<double>(ahead + 1) / usable;
+  const std::size_t calls = holding.running.size() + ahead + 1;
+  if (calls <= usable) return {};
+  const double rounds = static_cast<double>(calls - usable) / usable;
   return base::duration(static_cast<std::int64_t>(rounds * holding.slots.call_us));
 }
 
