--- a/tests/core/membership/placement_test.cc
+++ b/tests/core/membership/placement_test.cc
@@ -112,14 +112,15 @@
     most = std::max(most, changed);
   }
   const double moved_fraction = static_cast<double>(moved) / (kRounds * 2.0 * 640.0);
-  WARN("max/mean " << worst_spread << ", moved in the data centre: mean " << moved_fraction << ", worst "
+  INFO("max/mean " << worst_spread << ", moved in the data centre: mean " << moved_fraction << ", worst "
                    << static_cast<double>(most) / 1280.0);
   CHECK(moved_fraction <= 0.06);
 
   std::set<base::instance_id> touched;
   for (std::size_t s = 0; s < 800; ++s)
     touched.insert(before.by_backend_server[s * 4].primary);
-  WARN("gatherers for one replica of each of 800 shards: " << touched.size());
+  INFO("gatherers for one replica of each of 800 shards: " << touched.size());
+  CHECK(touched.size() < 450);
 }
 
 // Guards against a placement that is too slow to be computed on every change of members.
@@ -130,7 +131,7 @@
   for (int i = 0; i < 20; ++i)
     REQUIRE(ComputePlacement(config, all).by_backend_server.size() == 3200);
   const std::chrono::duration<double, std::milli> spent = std::chrono::steady_clock::now() - start;
-  WARN("placement: " << spent.count() / 20 << " ms");
+  INFO("placement: " << spent.count() / 20 << " ms");
   // The bound leaves room for a busy machine; the target is 5 ms.
   CHECK(spent.count() / 20 < 50);
 }
