Spread members, facts and configurations by probes and gossip

The thin peer role polled the service from every instance and took the instance list for the truth. Now a SWIM failure detector decides who lives, changes ride on probes and announcements, two watchers per data centre read the service, and tables are exchanged with one peer at a time when their digests differ.

probe_ack gains table_digest, so that a difference is seen without a message of its own.

--- /dev/null
+++ b/core/membership/configuration_fetch.cc
@@ -0,0 +1,162 @@
+#include "core/membership/configuration_fetch.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "core/base/digest.h"
+#include "core/membership/membership_tables.h"
+#include "core/membership/spread_queue.h"
+
+namespace limpetrouter::core::membership {
+namespace {
+
+/// Above a connection and an answer between regions (160 ms).
+constexpr base::duration kFetchTimeout = std::chrono::milliseconds(500);
+/// Members that a new instance asks beside the service.
+constexpr std::uint32_t kFirstAsked = 2;
+/// A member that has a revision in force which this instance refused shows that the refused text was damaged, or that
+/// its version differs. A few tries settle the first case.
+constexpr std::uint32_t kMaxRefusedTries = 2;
+
+base::revision_id InForce(const membership_tables& tables) {
+  return tables.store.in_force == nullptr ? base::revision_id() : tables.store.in_force->revision;
+}
+
+bool IsWanted(const membership_tables& tables, base::revision_id revision) {
+  if (revision <= InForce(tables)) return false;
+  const auto& refused = tables.store.refused;
+  return !refused.has_value() || revision > refused->revision ||
+         (revision == refused->revision && tables.fetch.refused_tries < kMaxRefusedTries);
+}
+
+void Fetch(membership_tables& tables, instance::context& ctx, const base::instance_id& target) {
+  configuration_fetch& fetch = tables.fetch;
+  const base::revision_id have = fetch.full ? base::revision_id() : InForce(tables);
+  if (!instance::SendToPeer(ctx, target, peer::configuration_request{have})) return;
+  fetch.target = target;
+  fetch.sent = ctx.now;
+  const member* const entry = FindMember(tables.members, target);
+  const auto& refused = tables.store.refused;
+  if (entry != nullptr && refused.has_value() && entry->revision == refused->revision) ++fetch.refused_tries;
+}
+
+/// Asks a random member that is known to be ahead.
+void FetchNext(membership_tables& tables, instance::context& ctx) {
+  std::vector<base::instance_id> ahead;
+  for (const auto& [id, entry] : tables.members.members) {
+    const bool usable = entry.info.state != peer::member_state::kDead;
+    if (usable && IsWanted(tables, entry.revision) && id != tables.fetch.silent) ahead.push_back(id);
+  }
+  if (!ahead.empty()) Fetch(tables, ctx, ahead[base::NextBelow(ctx.random, ahead.size())]);
+}
+
+/// Members known at the start, alive or not.
+void AskFirst(membership_tables& tables, instance::context& ctx) {
+  if (tables.store.in_force != nullptr || tables.fetch.first_asked >= kFirstAsked) return;
+  std::vector<base::instance_id> known;
+  for (const auto& [id, entry] : tables.members.members) {
+    if (!entry.info.peer_address.empty() && entry.info.state != peer::member_state::kLeaving) known.push_back(id);
+  }
+  while (!known.empty() && tables.fetch.first_asked < kFirstAsked) {
+    const auto pick = known.begin() + static_cast<std::ptrdiff_t>(base::NextBelow(ctx.random, known.size()));
+    instance::SendToPeer(ctx, *pick, peer::configuration_request{});
+    known.erase(pick);
+    ++tables.fetch.first_asked;
+  }
+}
+
+void LogFailure(instance::context& ctx, const base::error& reason, std::string_view source) {
+  const bool conflict = reason.kind == base::error_kind::kConfigurationConflict;
+  instance::LogDecision(ctx, "configuration",
+                        {{conflict ? "conflict" : "refused", reason.detail}, {"source", std::string(source)}});
+}
+
+}  // namespace
+
+void NoteOffer(membership_tables& tables, instance::context& ctx, const base::result<bool>& offered,
+               std::string_view source) {
+  if (!offered.has_value()) {
+    if (offered.error().kind != base::error_kind::kConfigurationStale) LogFailure(ctx, offered.error(), source);
+    return;
+  }
+  if (!*offered) return;
+  // Messages of this event already carry the new revision.
+  ctx.config = tables.store.in_force;
+  tables.fetch.full = false;
+  tables.fetch.refused_tries = 0;
+  instance::LogDecision(ctx, "configuration",
+                        {{"accepted", std::to_string(tables.store.in_force->revision.value)},
+                         {"digest", base::ToHex(tables.store.in_force->digest)},
+                         {"source", std::string(source)}});
+  AnnounceRepeatedly(tables, ctx.now);
+}
+
+void NoteRevision(membership_tables& tables, instance::context& ctx, const peer::message_header& header) {
+  const auto it = tables.members.members.find(header.sender.id);
+  if (it == tables.members.members.end() || it->second.info.member != header.sender) return;
+  member& entry = it->second;
+  entry.revision = header.revision;
+  entry.digest = header.digest;
+  const config::configuration_ptr& own = tables.store.in_force;
+  if (own != nullptr && header.revision == own->revision && header.digest != own->digest &&
+      entry.conflict != header.revision) {
+    entry.conflict = header.revision;
+    ++tables.store.conflicts;
+    instance::LogDecision(ctx, "configuration",
+                          {{"conflict", std::to_string(header.revision.value)},
+                           {"instance", header.sender.id.value},
+                           {"digest", base::ToHex(own->digest)},
+                           {"other_digest", base::ToHex(header.digest)}});
+  }
+  if (tables.fetch.target.value.empty() && IsWanted(tables, header.revision)) Fetch(tables, ctx, header.sender.id);
+}
+
+void AnswerFetch(membership_tables& tables, instance::context& ctx, const base::instance_id& sender,
+                 const peer::configuration_request& request) {
+  std::optional<config::configuration_payload> payload = config::MakePayload(tables.store, request.have);
+  if (!payload.has_value()) return;
+  instance::SendToPeer(
+      ctx, sender,
+      peer::configuration_value{payload->revision, payload->digest, payload->base, std::move(payload->text)});
+}
+
+void AcceptValue(membership_tables& tables, instance::context& ctx, const base::instance_id& sender,
+                 const peer::configuration_value& value) {
+  configuration_fetch& fetch = tables.fetch;
+  if (fetch.target == sender) fetch.target = {};
+  fetch.silent = {};
+  if (value.revision < InForce(tables)) return;
+  const base::result<bool> offered =
+      config::OfferPayload(tables.store, {value.revision, value.digest, value.base, value.text});
+  // A patch that came too late for its base is no failure.
+  const bool outdated_patch = !offered.has_value() && value.base.value != 0 && value.base != InForce(tables);
+  if (!outdated_patch) NoteOffer(tables, ctx, offered, sender.value);
+  const bool invalid = !offered.has_value() && offered.error().kind == base::error_kind::kInvalidConfiguration;
+  if (invalid && value.base.value != 0 && IsWanted(tables, value.revision) && fetch.target.value.empty()) {
+    fetch.full = true;
+    Fetch(tables, ctx, sender);
+    return;
+  }
+  if (fetch.target.value.empty()) FetchNext(tables, ctx);
+}
+
+void NoteFetchFailed(membership_tables& tables, const base::instance_id& target) {
+  if (tables.fetch.target == target) tables.fetch.sent = {};
+}
+
+void FetchFromAnyone(membership_tables& tables, instance::context& ctx) {
+  for (const base::instance_id& target : PickMembers(tables, ctx.random, 1))
+    Fetch(tables, ctx, target);
+}
+
+void RunFetch(membership_tables& tables, instance::context& ctx) {
+  AskFirst(tables, ctx);
+  configuration_fetch& fetch = tables.fetch;
+  if (fetch.target.value.empty() || ctx.now - fetch.sent < kFetchTimeout) return;
+  fetch.silent = fetch.target;
+  fetch.target = {};
+  FetchNext(tables, ctx);
+}
+
+}  // namespace limpetrouter::core::membership
--- /dev/null
+++ b/core/membership/configuration_reader.cc
@@ -0,0 +1,146 @@
+#include "core/membership/configuration_reader.h"
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+#include "core/base/digest.h"
+#include "core/membership/configuration_fetch.h"
+#include "core/membership/membership_tables.h"
+
+namespace limpetrouter::core::membership {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Watchers per data centre. The second one covers a frozen one until it is declared dead.
+constexpr std::size_t kWatchers = 2;
+constexpr base::duration kWatchTime = seconds(20);
+/// 450 instances make 7.5 calls a second of the service's 2,000.
+constexpr base::duration kPollInterval = seconds(60);
+/// Retries come after half to all of a delay that doubles from the first to the last of these.
+constexpr base::duration kFirstRetry = milliseconds(400);
+constexpr base::duration kLastRetry = seconds(5);
+/// A read that is not answered this long after its wait counts as failed.
+constexpr base::duration kReadTimeout = seconds(10);
+/// Spreads the first reads of a fleet that restarts.
+constexpr base::duration kStartJitter = milliseconds(250);
+/// A watch that ends sooner without news is retried like a failure, so that a faulty service is not flooded.
+constexpr base::duration kShortestWatch = seconds(1);
+
+base::duration Jitter(base::random_source& random, base::duration span) {
+  return base::duration(base::NextBelow(random, static_cast<std::uint64_t>(span.count()) + 1));
+}
+
+/// The first instances of the own data centre in rendezvous order.
+bool IsWatcher(const membership_tables& tables, bool leaving) {
+  const member_table& table = tables.members;
+  if (leaving || table.self_leaving) return false;
+  const auto weight = [&table](const base::instance_id& id) {
+    return base::MixHash(base::HashBytes(id.value), base::HashBytes(table.self.data_centre.value));
+  };
+  const std::uint64_t own = weight(table.self.ref.id);
+  std::size_t before = 0;
+  for (const auto& [id, entry] : table.members) {
+    const bool usable =
+        entry.info.state == peer::member_state::kAlive || entry.info.state == peer::member_state::kSuspect;
+    if (usable && entry.info.data_centre == table.self.data_centre && weight(id) > own) ++before;
+  }
+  return before < kWatchers;
+}
+
+void UpdateRole(membership_tables& tables, instance::context& ctx) {
+  configuration_reader& reader = tables.reader;
+  if (reader.members_version == tables.members.version) return;
+  reader.members_version = tables.members.version;
+  const bool watching = IsWatcher(tables, ctx.leaving);
+  if (watching == reader.watching) return;
+  reader.watching = watching;
+  if (watching && !reader.reading)
+    reader.next_read = std::min(reader.next_read, ctx.now + Jitter(ctx.random, kStartJitter));
+  instance::LogDecision(
+      ctx, "watch",
+      {{"watching", watching ? "true" : "false"}, {"data_centre", tables.members.self.data_centre.value}});
+}
+
+/// Time of the next read after a read that brought no news or was not needed again at once.
+base::duration PollDelay(base::random_source& random) {
+  return kPollInterval * 4 / 5 + Jitter(random, kPollInterval * 2 / 5);
+}
+
+base::duration RetryDelay(const configuration_reader& reader, base::random_source& random) {
+  const std::uint32_t doublings = std::min<std::uint32_t>(reader.failures, 4);
+  const base::duration delay = std::min(kLastRetry, kFirstRetry * (1 << doublings));
+  return delay / 2 + Jitter(random, delay / 2);
+}
+
+void NoteFailure(membership_tables& tables, instance::context& ctx) {
+  configuration_reader& reader = tables.reader;
+  const bool urgent = reader.watching || tables.store.in_force == nullptr;
+  reader.next_read = ctx.now + (urgent ? RetryDelay(reader, ctx.random) : PollDelay(ctx.random));
+  ++reader.failures;
+}
+
+/// Ends the read that is under way. `news` tells whether it brought a revision above the one asked for.
+void FinishRead(membership_tables& tables, instance::context& ctx, bool news) {
+  configuration_reader& reader = tables.reader;
+  if (!reader.reading) return;
+  reader.reading = false;
+  if (!news && reader.wait > base::duration{} && ctx.now - reader.read_sent < kShortestWatch) {
+    NoteFailure(tables, ctx);
+    return;
+  }
+  reader.failures = 0;
+  reader.next_read = reader.watching ? ctx.now : ctx.now + PollDelay(ctx.random);
+}
+
+void StartRead(membership_tables& tables, instance::context& ctx) {
+  configuration_reader& reader = tables.reader;
+  const config::configuration_store& store = tables.store;
+  reader.after = store.in_force == nullptr ? base::revision_id() : store.in_force->revision;
+  // A refused revision is not read again.
+  if (store.refused.has_value()) reader.after = std::max(reader.after, store.refused->revision);
+  reader.wait = reader.watching && reader.after.value != 0 ? kWatchTime : base::duration{};
+  reader.reading = true;
+  reader.read_sent = ctx.now;
+  ctx.out.emplace_back(io::read_configuration{reader.after, reader.wait});
+}
+
+}  // namespace
+
+void NoteRead(membership_tables& tables, instance::context& ctx, const config::configuration_source& source) {
+  const bool news = source.revision > tables.reader.after;
+  const bool refused_before = tables.store.refused.has_value() && tables.store.refused->revision == source.revision;
+  if (!refused_before) NoteOffer(tables, ctx, config::OfferSource(tables.store, source), "service");
+  FinishRead(tables, ctx, news);
+}
+
+void NoteReadFailed(membership_tables& tables, instance::context& ctx, const base::error& reason) {
+  if (reason.kind == base::error_kind::kConfigurationStale) {
+    FinishRead(tables, ctx, false);
+    return;
+  }
+  tables.reader.reading = false;
+  if (tables.reader.failures == 0) {
+    instance::LogDecision(ctx, "configuration", {{"read_failed", reason.detail}});
+  }
+  NoteFailure(tables, ctx);
+}
+
+void ReadSoon(membership_tables& tables, instance::context& ctx) {
+  tables.reader.reading = false;
+  tables.reader.next_read = ctx.now + Jitter(ctx.random, kStartJitter);
+}
+
+void RunReader(membership_tables& tables, instance::context& ctx) {
+  configuration_reader& reader = tables.reader;
+  UpdateRole(tables, ctx);
+  if (reader.reading && ctx.now - reader.read_sent > reader.wait + kReadTimeout) {
+    reader.reading = false;
+    NoteFailure(tables, ctx);
+  }
+  if (!reader.reading && ctx.now >= reader.next_read) StartRead(tables, ctx);
+}
+
+}  // namespace limpetrouter::core::membership
--- /dev/null
+++ b/core/membership/fact_spread.cc
@@ -0,0 +1,99 @@
+#include "core/membership/fact_spread.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "core/membership/membership_tables.h"
+
+namespace limpetrouter::core::membership {
+namespace {
+
+/// Bounds the memory that other instances can take.
+constexpr std::size_t kMaxFacts = 8192;
+constexpr std::size_t kMaxSubjectLength = 128;
+/// A fact this close to its end is not passed on, so that instances that have dropped it do not take it up again.
+constexpr base::duration kShortestLifetime = std::chrono::seconds(1);
+
+std::size_t EncodedSize(const peer::fact& fact) {
+  return sizeof(std::uint8_t) + sizeof(std::uint64_t) + fact.subject.size() + 3 * sizeof(std::uint64_t);
+}
+
+bool Expires(const peer::fact& fact) { return fact.kind != peer::fact_kind::kBackendDraining; }
+
+/// The fact with its remaining lifetime. False if it is too short to be passed on.
+bool ToMessage(const known_fact& known, base::time_point now, peer::fact& fact) {
+  fact = known.fact;
+  fact.expires_in_us = 0;
+  if (!Expires(fact)) return true;
+  const base::duration left = known.expires - now;
+  fact.expires_in_us = left.count();
+  return left >= kShortestLifetime;
+}
+
+/// A newer revision than the one of the observation decides about the backend server.
+bool IsOutdated(const membership_tables& tables, const peer::fact& fact) {
+  return fact.kind == peer::fact_kind::kBackendDraining && tables.store.in_force != nullptr &&
+         fact.revision < tables.store.in_force->revision.value;
+}
+
+}  // namespace
+
+std::size_t AppendFacts(membership_tables& tables, base::time_point now, std::size_t count, std::size_t bytes,
+                        peer::piggyback& changes) {
+  std::vector<known_fact*> order;
+  for (auto& [key, known] : tables.facts.facts) {
+    if (known.transmissions_left > 0) order.push_back(&known);
+  }
+  std::stable_sort(order.begin(), order.end(), [](const known_fact* a, const known_fact* b) {
+    return a->transmissions_left > b->transmissions_left;
+  });
+  std::size_t used = 0;
+  for (known_fact* const known : order) {
+    if (changes.facts.size() >= count) break;
+    peer::fact fact;
+    if (!ToMessage(*known, now, fact)) {
+      known->transmissions_left = 0;
+      continue;
+    }
+    const std::size_t size = EncodedSize(fact);
+    if (used + size > bytes) continue;
+    used += size;
+    --known->transmissions_left;
+    changes.facts.push_back(std::move(fact));
+  }
+  return used;
+}
+
+std::vector<peer::fact> AllFacts(const membership_tables& tables, base::time_point now) {
+  std::vector<peer::fact> facts;
+  for (const auto& [key, known] : tables.facts.facts) {
+    peer::fact fact;
+    if (ToMessage(known, now, fact)) facts.push_back(std::move(fact));
+  }
+  return facts;
+}
+
+void MergeFacts(membership_tables& tables, instance::context& ctx, const std::vector<peer::fact>& facts) {
+  for (const peer::fact& fact : facts) {
+    if (fact.subject.empty() || fact.subject.size() > kMaxSubjectLength || IsOutdated(tables, fact)) continue;
+    if (Expires(fact) && base::duration(fact.expires_in_us) < kShortestLifetime) continue;
+    const bool held = tables.facts.facts.contains({fact.kind, fact.subject});
+    if (!held && tables.facts.facts.size() >= kMaxFacts) continue;
+    MergeFact(tables.facts, fact, ctx.now);
+  }
+}
+
+bool TakeUrgentFacts(membership_tables& tables) {
+  bool urgent = false;
+  for (auto& [key, known] : tables.facts.facts)
+    urgent |= std::exchange(known.urgent, false);
+  return urgent;
+}
+
+void CleanUpFacts(membership_tables& tables, base::time_point now) {
+  ExpireFacts(tables.facts, now);
+  std::erase_if(tables.facts.facts, [&tables](const auto& entry) { return IsOutdated(tables, entry.second.fact); });
+}
+
+}  // namespace limpetrouter::core::membership
--- /dev/null
+++ b/core/membership/member_change.cc
@@ -0,0 +1,278 @@
+#include "core/membership/member_change.h"
+
+#include <chrono>
+#include <string>
+
+#include "core/membership/membership_tables.h"
+
+namespace limpetrouter::core::membership {
+namespace {
+
+using peer::member_state;
+
+/// Own evidence of this age outweighs what others say. It is shorter than the time in which a crash is detected, so
+/// that it does not delay the detection.
+constexpr base::duration kDirectEvidence = std::chrono::seconds(1);
+constexpr std::size_t kMaxIdLength = 64;
+constexpr std::size_t kMaxAddressLength = 64;
+
+/// What a change is compared with.
+struct member_view {
+  base::instance_ref ref;
+  base::data_centre_id data_centre;
+  member_state state = member_state::kDead;
+  bool suspected = false;
+  std::uint32_t counter = 0;
+};
+
+member_view ViewOf(const member& entry) {
+  return {entry.info.member, entry.info.data_centre, entry.info.state, entry.suspected && !entry.dead,
+          entry.info.counter};
+}
+
+member_state StateOf(const member& entry) {
+  // Without an address no work can be sent to the member.
+  const bool unknown = entry.info.member.incarnation.value == 0 || entry.info.peer_address.empty();
+  if (entry.dead || unknown) return member_state::kDead;
+  if (entry.leaving_announced || entry.leaving_listed) return member_state::kLeaving;
+  return entry.suspected ? member_state::kSuspect : member_state::kAlive;
+}
+
+/// Placement treats a suspect as alive.
+member_state PlacementState(member_state state) {
+  return state == member_state::kSuspect ? member_state::kAlive : state;
+}
+
+void StartLife(member& entry, const base::instance_ref& ref) {
+  entry.info.member = ref;
+  entry.info.counter = 0;
+  entry.heard = {};
+  entry.dead = false;
+  entry.suspected = false;
+  entry.leaving_announced = false;
+  entry.leaving_listed = false;
+  entry.accused = {};
+  entry.revision = {};
+  entry.digest = 0;
+  entry.conflict = {};
+}
+
+/// Derives the state of the entry and does what follows from a difference to `before`.
+void FinishChange(membership_tables& tables, instance::context& ctx, member& entry, const member_view& before,
+                  std::string_view reason) {
+  entry.info.state = StateOf(entry);
+  const member_view after = ViewOf(entry);
+  const bool new_life = after.ref != before.ref;
+  if (after.suspected != before.suspected || after.counter != before.counter || new_life) {
+    NoteSuspicion(tables, ctx, entry);
+  }
+  if (after.state == before.state && !new_life) return;
+  if (after.state != before.state) entry.since = ctx.now;
+  if (PlacementState(after.state) != PlacementState(before.state) || new_life ||
+      after.data_centre != before.data_centre) {
+    ++tables.members.version;
+  }
+  if (before.state == member_state::kDead && after.state != member_state::kDead) NoteUsable(tables, ctx, entry);
+  instance::LogDecision(ctx, "member",
+                        {{"instance", after.ref.id.value},
+                         {"incarnation", std::to_string(after.ref.incarnation.value)},
+                         {"from", std::string(ToString(before.state))},
+                         {"to", std::string(ToString(after.state))},
+                         {"reason", std::string(reason)}});
+}
+
+member* FindEntry(membership_tables& tables, const base::instance_id& id) {
+  const auto it = tables.members.members.find(id);
+  return it == tables.members.members.end() ? nullptr : &it->second;
+}
+
+/// Null if the table is full.
+member* AddEntry(membership_tables& tables, const base::instance_ref& ref) {
+  if (tables.members.members.size() >= kMaxMembers) return nullptr;
+  member& entry = tables.members.members[ref.id];
+  entry.info.member = ref;
+  entry.info.state = member_state::kDead;
+  return &entry;
+}
+
+bool HasDirectEvidence(const member& entry, base::time_point now) {
+  return entry.heard != base::time_point{} && now - entry.heard < kDirectEvidence;
+}
+
+bool IsWellFormed(const peer::member_update& update) {
+  const std::string& id = update.member.id.value;
+  return !id.empty() && id.size() <= kMaxIdLength && update.member.incarnation.value != 0 &&
+         update.data_centre.value.size() <= kMaxIdLength && update.peer_address.size() <= kMaxAddressLength &&
+         update.http_address.size() <= kMaxAddressLength;
+}
+
+/// What others say about this instance. A suspicion is refuted with a higher counter.
+void MergeSelf(membership_tables& tables, instance::context& ctx, const peer::member_update& update) {
+  member_table& table = tables.members;
+  const bool accused = update.state == member_state::kSuspect || update.state == member_state::kDead;
+  if (update.member != table.self.ref || !accused || update.counter < table.self_counter) return;
+  table.self_counter = update.counter + 1;
+  instance::LogDecision(ctx, "member",
+                        {{"instance", table.self.ref.id.value},
+                         {"refuted", std::string(ToString(update.state))},
+                         {"counter", std::to_string(table.self_counter)}});
+  AnnounceSoon(tables);
+}
+
+/// Applies an update of the current life of the member.
+void MergeState(member& entry, const peer::member_update& update, base::time_point now) {
+  if (update.state == member_state::kLeaving) entry.leaving_announced = true;
+  if (update.counter < entry.info.counter) return;
+  if (update.counter > entry.info.counter) {
+    entry.info.counter = update.counter;
+    entry.suspected = false;
+    entry.dead = false;
+  }
+  if (HasDirectEvidence(entry, now)) return;
+  if (update.state == member_state::kDead) entry.dead = true;
+  if (update.state == member_state::kSuspect && !entry.dead) entry.suspected = true;
+}
+
+void MergeAddresses(member& entry, const peer::member_update& update) {
+  if (!update.peer_address.empty()) entry.info.peer_address = update.peer_address;
+  if (!update.http_address.empty()) entry.info.http_address = update.http_address;
+  if (!update.data_centre.value.empty()) entry.info.data_centre = update.data_centre;
+}
+
+bool SaysTheSame(const peer::member_update& a, const peer::member_update& b) {
+  return a.member == b.member && a.state == b.state && a.counter == b.counter && a.peer_address == b.peer_address;
+}
+
+/// Tells a living member that it is taken for suspect or dead, so that it refutes that.
+void Accuse(membership_tables& tables, instance::context& ctx, member& entry) {
+  constexpr base::duration kInterval = std::chrono::milliseconds(500);
+  if (entry.info.peer_address.empty()) return;
+  if (entry.accused != base::time_point{} && ctx.now - entry.accused < kInterval) return;
+  entry.accused = ctx.now;
+  SendDatagram(tables, ctx, entry.info.member.id, entry.info.peer_address, peer::announce{});
+}
+
+}  // namespace
+
+peer::member_update MakeUpdate(const member& entry) {
+  peer::member_update update = entry.info;
+  if (entry.dead) {
+    update.state = member_state::kDead;
+  } else if (entry.suspected) {
+    update.state = member_state::kSuspect;
+  } else {
+    update.state = entry.leaving_announced ? member_state::kLeaving : member_state::kAlive;
+  }
+  return update;
+}
+
+peer::member_update MakeSelfUpdate(const member_table& table) {
+  return {table.self.ref,
+          table.self.data_centre,
+          table.self.peer_address,
+          table.self.http_address,
+          table.self_leaving ? member_state::kLeaving : member_state::kAlive,
+          table.self_counter};
+}
+
+void NoteHeard(membership_tables& tables, instance::context& ctx, const base::instance_ref& sender,
+               const base::data_centre_id& data_centre) {
+  if (sender.id == tables.members.self.ref.id || sender.id.value.empty() || sender.incarnation.value == 0) return;
+  member* entry = FindEntry(tables, sender.id);
+  if (entry == nullptr) entry = AddEntry(tables, sender);
+  if (entry == nullptr || sender.incarnation < entry->info.member.incarnation) return;
+  const member_view before = ViewOf(*entry);
+  if (entry->info.member != sender) StartLife(*entry, sender);
+  if (entry->dead || entry->suspected) {
+    Accuse(tables, ctx, *entry);
+    if (entry->dead) WantExchange(tables, sender.id);
+    entry->dead = false;
+    entry->suspected = false;
+  }
+  entry->heard = ctx.now;
+  if (!data_centre.value.empty()) entry->info.data_centre = data_centre;
+  FinishChange(tables, ctx, *entry, before, "heard");
+  if (entry->info.state == member_state::kDead) return;
+  if (before.state != member_state::kDead && before.ref == sender) return;
+  EnqueueMember(tables, sender.id);
+  AnnounceSoon(tables);
+}
+
+void MergeUpdate(membership_tables& tables, instance::context& ctx, const peer::member_update& update) {
+  if (!IsWellFormed(update)) return;
+  if (update.member.id == tables.members.self.ref.id) {
+    MergeSelf(tables, ctx, update);
+    return;
+  }
+  member* entry = FindEntry(tables, update.member.id);
+  if (entry == nullptr) {
+    // News of the death of a member that nobody here knows has no use.
+    if (update.state == member_state::kDead) return;
+    entry = AddEntry(tables, update.member);
+    if (entry == nullptr) return;
+  }
+  if (update.member.incarnation < entry->info.member.incarnation) return;
+  const member_view before = ViewOf(*entry);
+  const peer::member_update said = MakeUpdate(*entry);
+  if (update.member != entry->info.member) StartLife(*entry, update.member);
+  MergeAddresses(*entry, update);
+  MergeState(*entry, update, ctx.now);
+  FinishChange(tables, ctx, *entry, before, "told");
+  if (SaysTheSame(said, MakeUpdate(*entry)) && entry->info.state == before.state) return;
+  EnqueueMember(tables, update.member.id);
+  if (entry->info.state != before.state || entry->info.member != before.ref) AnnounceSoon(tables);
+}
+
+void MarkSuspect(membership_tables& tables, instance::context& ctx, const base::instance_ref& ref) {
+  member* const entry = FindEntry(tables, ref.id);
+  if (entry == nullptr || entry->info.member != ref || entry->dead || entry->suspected) return;
+  const member_view before = ViewOf(*entry);
+  entry->suspected = true;
+  FinishChange(tables, ctx, *entry, before, "no answer to probes");
+  EnqueueMember(tables, ref.id);
+  AnnounceSoon(tables);
+}
+
+void MarkDead(membership_tables& tables, instance::context& ctx, const base::instance_ref& ref) {
+  member* const entry = FindEntry(tables, ref.id);
+  if (entry == nullptr || entry->info.member != ref || entry->dead) return;
+  const member_view before = ViewOf(*entry);
+  entry->suspected = false;
+  entry->dead = true;
+  FinishChange(tables, ctx, *entry, before, "suspicion not refuted");
+  EnqueueMember(tables, ref.id);
+  AnnounceSoon(tables);
+}
+
+void MarkListed(membership_tables& tables, instance::context& ctx, const peer::member_update& listed) {
+  member* entry = FindEntry(tables, listed.member.id);
+  if (entry == nullptr) entry = AddEntry(tables, {listed.member.id, base::incarnation_id()});
+  if (entry == nullptr) return;
+  const member_view before = ViewOf(*entry);
+  entry->listed = true;
+  entry->leaving_listed = listed.state == member_state::kLeaving;
+  // A usable member has told its addresses itself; for others the list may know where the next life is.
+  if (entry->info.state == member_state::kDead) MergeAddresses(*entry, listed);
+  FinishChange(tables, ctx, *entry, before, "instance list");
+}
+
+void MarkUnlisted(membership_tables& tables, const base::instance_id& id) {
+  member* const entry = FindEntry(tables, id);
+  if (entry != nullptr) entry->listed = false;
+}
+
+std::string_view ToString(member_state state) {
+  switch (state) {
+    case member_state::kAlive:
+      return "alive";
+    case member_state::kLeaving:
+      return "leaving";
+    case member_state::kSuspect:
+      return "suspect";
+    case member_state::kDead:
+      break;
+  }
+  return "dead";
+}
+
+}  // namespace limpetrouter::core::membership
--- a/core/membership/member_table.h
+++ b/core/membership/member_table.h
@@ -21,11 +21,30 @@
 
 /// What this instance believes of one other instance.
 struct member {
+  /// `info.state` is the state that follows from the marks below. A seed of the instance list has incarnation 0 and is
+  /// kDead until it is heard of.
   peer::member_update info;
   /// When `info.state` last changed.
   base::time_point since{};
   /// When a message of this life of the member last arrived. Zero if none has.
   base::time_point heard{};
+
+  bool dead = false;
+  bool suspected = false;
+  /// The member itself said that it leaves. Holds for this incarnation.
+  bool leaving_announced = false;
+  /// The instance list says that it leaves. The list may lag behind a restart, so the mark follows the list.
+  bool leaving_listed = false;
+  /// The member is in the instance list.
+  bool listed = false;
+  /// When the member was last told that it is taken for suspect or dead.
+  base::time_point accused{};
+
+  /// Configuration in force at the member, from its last message.
+  base::revision_id revision;
+  std::uint64_t digest = 0;
+  /// Revision for which a difference of digests was reported.
+  base::revision_id conflict;
 };
 
 /// The members by instance id, without this instance. Dead members stay for a while so that old news of them is
@@ -33,6 +52,9 @@
 struct member_table {
   identity self;
   std::map<base::instance_id, member> members;
+  /// Counter in updates about this instance. Raised to refute a suspicion.
+  std::uint32_t self_counter = 0;
+  bool self_leaving = false;
   /// Raised whenever the set of usable members or a state changes; placement is computed anew then.
   std::uint64_t version = 1;
 };
--- a/core/peer/messages.h
+++ b/core/peer/messages.h
@@ -319,11 +319,13 @@
 
 struct probe_ack {
   std::uint64_t sequence = 0;
+  /// Hash of the usable members and the facts that the sender knows. Anti-entropy begins when it differs.
+  std::uint64_t table_digest = 0;
   piggyback changes;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(sequence, changes);
+    archive(sequence, table_digest, changes);
   }
 };
 
