--- a/shell/transfer_pool.cc
+++ b/shell/transfer_pool.cc
@@ -67,10 +67,20 @@
   return CURL_PREREQFUNC_OK;
 }
 
+/// libcurl takes a connection that closes within the header for the end of an answer without a body.
+bool EndedInHeader(const transfer& t) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  if (!t.result.body.empty() || t.result.status == kNoContent || t.result.status == kNotModified) return false;
+  curl_off_t announced = -1;
+  curl_easy_getinfo(t.handle, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &announced);
+  return announced < 0;
+}
+
 transfer_outcome OutcomeOf(const transfer& t, CURLcode code) {
   switch (code) {
     case CURLE_OK:
-      return transfer_outcome::kAnswered;
+      return EndedInHeader(t) ? transfer_outcome::kLost : transfer_outcome::kAnswered;
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
     case CURLE_URL_MALFORMAT:
--- /dev/null
+++ b/tests/shell/log_test.cc
@@ -0,0 +1,65 @@
+#include "shell/log.h"
+
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+
+namespace limpetrouter::shell {
+namespace {
+
+// Guards against a value that breaks the line apart or looks like another field.
+TEST_CASE("values are quoted and escaped when needed") {
+  struct row {
+    std::string value;
+    std::string written;
+  };
+  const auto r = GENERATE(values<row>({{"k1/5/9", "x=k1/5/9"},
+                                       {"", "x=\"\""},
+                                       {"two words", "x=\"two words\""},
+                                       {"a=b", "x=\"a=b\""},
+                                       {"say \"no\"", "x=\"say \\\"no\\\"\""},
+                                       {"line\nbreak\x01", "x=\"line\\nbreak\\x01\""},
+                                       {"\xe8\x93\x9d", "x=\xe8\x93\x9d"}}));
+  std::string line;
+  AppendLogField(line, "x", r.value);
+  CHECK(line == r.written);
+}
+
+// Guards against a changed order or form of the leading fields, which operators parse.
+TEST_CASE("a line begins with time, level, instance and decision") {
+  const auto at = std::chrono::system_clock::time_point(std::chrono::microseconds(1'796'361'600'123'456));
+  CHECK(FormatLogLine(at, "info", "k1", "route", {{"query", "k1/5/9"}, {"reason", "least loaded"}}) ==
+        "ts=2026-12-04T05:20:00.123456Z level=info instance=k1 decision=route query=k1/5/9 reason=\"least loaded\"");
+}
+
+// Guards against a level that drops faults, or one that samples.
+TEST_CASE("a level drops whole kinds of lines") {
+  struct row {
+    log_level level;
+    std::string decisions;
+  };
+  const auto r = GENERATE(values<row>({{log_level::kDecisions, "route route place eject fault "},
+                                       {log_level::kInfo, "place eject fault "},
+                                       {log_level::kWarning, "eject fault "}}));
+  int ends[2];
+  REQUIRE(::pipe(ends) == 0);
+  {
+    logger log(r.level, "k1", ends[1]);
+    for (const char* decision : {"route", "route", "place", "eject"})
+      log.Decision({decision, {}});
+    log.Warning("fault", {});
+  }
+  ::close(ends[1]);
+  char buffer[4096];
+  const ssize_t size = ::read(ends[0], buffer, sizeof(buffer));
+  ::close(ends[0]);
+  std::string written(buffer, size > 0 ? static_cast<std::size_t>(size) : 0);
+  std::string decisions;
+  for (std::size_t at = written.find("decision="); at != std::string::npos; at = written.find("decision=", at + 1)) {
+    decisions += written.substr(at + 9, written.find('\n', at) - at - 9) + " ";
+  }
+  CHECK(decisions == r.decisions);
+}
+
+}  // namespace
+}  // namespace limpetrouter::shell
