--- a/cli/check.cc
+++ b/cli/check.cc
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include "cli/commands.h"
 #include "core/config/parse.h"
@@ -16,7 +17,7 @@
 
 int Report(const options& chosen, const std::vector<std::string>& faults, const std::string& summary) {
   if (chosen.json) {
-    fmt::print("{}\n", json{{"valid", faults.empty()}, {"faults", faults}}.dump(2));
+    fmt::print("{}\n", json({{"valid", faults.empty()}, {"faults", faults}}).dump(2));
   } else {
     for (const std::string& fault : faults)
       fmt::print("{}\n", fault);
--- a/cli/options.cc
+++ b/cli/options.cc
@@ -169,7 +169,11 @@
   popt_targets targets;
   const std::vector<poptOption> table = MakeTable(*command, targets);
   const std::string title = fmt::format("limpetctl {}", name);
-  const context_ptr context(poptGetContext(title.c_str(), argc - 1, argv + 1, table.data(), 0));
+  // popt prints the first argument as the name of the program.
+  std::vector<const char*> words(argv + 1, argv + argc);
+  words[0] = title.c_str();
+  const context_ptr context(
+      poptGetContext(title.c_str(), static_cast<int>(words.size()), words.data(), table.data(), 0));
   const std::string usage = fmt::format("{} [OPTIONS]\n{}", command->arguments, command->summary);
   poptSetOtherOptionHelp(context.get(), usage.c_str());
   int code = 0;
