--- a/cli/query.cc
+++ b/cli/query.cc
@@ -54,7 +54,8 @@
   fmt::print("coverage   {} of {} documents, {} of {} shards: {}\n", CellOf(coverage, "documents_answered"),
              CellOf(coverage, "documents_total"), CellOf(coverage, "shards_answered"), CellOf(coverage, "shards_total"),
              coverage.value("complete", false) ? "complete" : "PARTIAL");
-  for (const auto& [name, value] : answer.value("totals", json::object()).items()) {
+  const json totals = answer.value("totals", json::object());
+  for (const auto& [name, value] : totals.items()) {
     fmt::print("total      {} = {}\n", name, CellOf(value));
   }
   const json rows = answer.value("rows", json::array());
--- a/cli/status.cc
+++ b/cli/status.cc
@@ -80,7 +80,8 @@
   std::map<std::string, server_view> servers;
   for (const instance_report& entry : reports) {
     if (entry.report.is_null()) continue;
-    for (const auto& [id, statistics] : entry.report.value("statistics", json::object()).items()) {
+    const json statistics_by_server = entry.report.value("statistics", json::object());
+    for (const auto& [id, statistics] : statistics_by_server.items()) {
       server_view& server = servers[id];
       server.service = CellOf(statistics, "service");
       server.outstanding += statistics.value("outstanding", std::int64_t{0});
@@ -89,7 +90,8 @@
       server.ejected_by += statistics.value("ejected_for_ms", std::int64_t{0}) > 0 ? 1 : 0;
       server.draining = server.draining || statistics.value("draining", false);
     }
-    for (const auto& [id, holding] : entry.report.value("holdings", json::object()).items()) {
+    const json holdings = entry.report.value("holdings", json::object());
+    for (const auto& [id, holding] : holdings.items()) {
       server_view& server = servers[id];
       const std::string role = CellOf(holding, "role");
       if (role == "primary") server.primary.insert(entry.instance);
@@ -160,7 +162,8 @@
               {}};
   for (const instance_report& entry : reports) {
     if (entry.report.is_null()) continue;
-    for (const auto& [id, collection] : entry.report.value("collections", json::object()).items()) {
+    const json collections = entry.report.value("collections", json::object());
+    for (const auto& [id, collection] : collections.items()) {
       const json hedges = collection.value("hedges", json::object());
       const json retries = collection.value("retries", json::object());
       shown.rows.push_back({entry.instance, id, CellOf(collection, "in_flight"), CellOf(collection, "limit"),
