Keep retries away from gatherers that do not answer

Cause: with a data centre lost, a call that could not be delivered was retried on the same replica through the same lost holder until it was given up, and a gatherer's 'overloaded' was taken as final for its shard.

--- a/core/entry/attempts.cc
+++ b/core/entry/attempts.cc
@@ -21,6 +21,8 @@
 constexpr std::uint32_t kServiceSamples = 200;
 /// Without so many samples there is no threshold.
 constexpr std::uint32_t kCollectionSamples = 30;
+/// The threshold aims below the budget, which leaves room for second hedges and for bursts.
+constexpr double kPlannedShare = 0.85;
 constexpr base::duration kNoHolderDelay = std::chrono::milliseconds(50);
 
 const char* NameOf(attempt_kind kind) {
@@ -238,7 +240,7 @@
   routing::service_statistics& service = tables.statistics.services[ServiceOf(tables, query, shard)];
   const bool enough = routing::LatencySamples(service.latency) >= kServiceSamples;
   routing::latency_window& window = enough ? service.latency : tables.collections[query.request.collection].latency;
-  routing::RefreshSummary(window, query.config->limit.hedge_budget, now);
+  routing::RefreshSummary(window, kPlannedShare * query.config->limit.hedge_budget, now);
   return window;
 }
 
@@ -258,6 +260,7 @@
 }
 
 void JudgeServer(entry_tables& tables, instance::context& ctx, std::uint32_t statistics) {
+  if (ctx.config != nullptr && !ctx.config->limit.ejection) return;
   const routing::ejection_reason reason = routing::ConsiderEjection(tables.statistics, statistics, ctx.now);
   if (reason == routing::ejection_reason::kNone) return;
   const routing::server_statistics& server = tables.statistics.servers[statistics];
--- a/core/entry/entry_tables.h
+++ b/core/entry/entry_tables.h
@@ -65,6 +65,8 @@
   std::shared_ptr<const routing::statistics_view> view;
   std::map<base::collection_id, collection_state> collections;
   std::map<base::instance_id, gatherer_health> gatherers;
+  /// No gatherer is avoided after this time.
+  base::time_point avoid_gatherers_until{};
   explain_log explanations;
   /// Identity of this instance, as of the last event, for reports.
   base::instance_ref self;
--- a/core/entry/holders.cc
+++ b/core/entry/holders.cc
@@ -53,12 +53,28 @@
   const bool standby_up = IsUsable(tables, ctx, holders->standby, cache);
   if (primary_up && !FailedQuery(query, holders->primary, server)) return {&holders->primary, false};
   if (standby_up && !FailedQuery(query, holders->standby, server)) return {&holders->standby, true};
-  // Both have failed; a second try of one that is up is better than none.
-  if (primary_up) return {&holders->primary, false};
-  if (standby_up) return {&holders->standby, true};
+  // Both have failed or are silent; a second try of one that the failure detector trusts is better than none.
+  const auto reachable = [&](const base::instance_id& id) {
+    return !id.value.empty() && membership::IsReachable(ctx.members, id);
+  };
+  if (reachable(holders->primary)) return {&holders->primary, false};
+  if (reachable(holders->standby)) return {&holders->standby, true};
   return {};
 }
 
+bool HasTrustedHolder(const entry_tables& tables, const instance::context& ctx, const query& query,
+                      std::uint32_t server) {
+  // Placement names reachable holders; only failures seen here speak against them, and those are rare.
+  if (query.unusable.empty() && tables.avoid_gatherers_until <= ctx.now) return true;
+  const membership::holders* holders = FindHolders(ctx, query, server);
+  if (holders == nullptr) return false;
+  gatherer_cache cache;
+  const auto trusted = [&](const base::instance_id& id) {
+    return IsUsable(tables, ctx, id, cache) && !FailedQuery(query, id, server);
+  };
+  return trusted(holders->primary) || trusted(holders->standby);
+}
+
 void MarkUnusable(query& query, const base::instance_id& gatherer, std::uint32_t server) {
   if (!FailedQuery(query, gatherer, server)) query.unusable.emplace_back(gatherer, server);
 }
@@ -70,6 +86,7 @@
   if (++health.overdue < kOverdueToAvoid) return;
   health.overdue = 0;
   health.unusable_until = now + kAvoidTime;
+  tables.avoid_gatherers_until = health.unusable_until;
 }
 
 void CountHeard(entry_tables& tables, const base::instance_id& gatherer, base::time_point now) {
@@ -81,6 +98,7 @@
 
 void CountUnreachable(entry_tables& tables, const base::instance_id& gatherer, base::time_point now) {
   tables.gatherers[gatherer].unusable_until = now + kAvoidTime;
+  tables.avoid_gatherers_until = now + kAvoidTime;
 }
 
 }  // namespace limpetrouter::core::entry
--- a/core/entry/holders.h
+++ b/core/entry/holders.h
@@ -24,6 +24,11 @@
 holder_choice ChooseHolder(const entry_tables& tables, const instance::context& ctx, const query& query,
                            std::uint32_t server, gatherer_cache& cache);
 
+/// True if a holder of the server may be expected to serve the query: it is reachable, not silent, and has not failed
+/// the query.
+bool HasTrustedHolder(const entry_tables& tables, const instance::context& ctx, const query& query,
+                      std::uint32_t server);
+
 /// Remembers that a gatherer did not serve this query.
 void MarkUnusable(query& query, const base::instance_id& gatherer, std::uint32_t server);
 
--- a/core/entry/plan.cc
+++ b/core/entry/plan.cc
@@ -9,6 +9,7 @@
 
 #include "core/base/random.h"
 #include "core/entry/attempts.h"
+#include "core/entry/holders.h"
 #include "core/routing/ejection.h"
 
 namespace limpetrouter::core::entry {
@@ -177,10 +178,18 @@
 
 std::optional<std::uint32_t> PickReplica(entry_tables& tables, const instance::context& ctx, const query& query,
                                          std::uint32_t shard, replica_rank worst) {
-  const std::vector<replica_candidate> candidates = Candidates(tables, ctx, query, shard);
+  std::vector<replica_candidate> candidates = Candidates(tables, ctx, query, shard);
   if (candidates.empty()) return std::nullopt;
-  if (NeedsCanary(query)) return NextInFingerprintOrder(tables, query, shard, candidates, worst);
-  return routing::ChooseReplica(candidates, worst, ctx.random);
+  while (true) {
+    const auto picked = NeedsCanary(query) ? NextInFingerprintOrder(tables, query, shard, candidates, worst)
+                                           : routing::ChooseReplica(candidates, worst, ctx.random);
+    if (!picked) return std::nullopt;
+    // Holders are looked up for the picked replica only; there are too many calls to do it for all replicas.
+    replica_candidate& candidate = candidates[*picked];
+    const std::uint32_t server = query.targets[shard]->replicas[*picked];
+    if (candidate.rank >= replica_rank::kNoHolder || HasTrustedHolder(tables, ctx, query, server)) return picked;
+    candidate.rank = replica_rank::kNoHolder;
+  }
 }
 
 double InitialLimit(const config::configuration& config, const config::snapshot& snapshot) {
--- a/core/entry/results.cc
+++ b/core/entry/results.cc
@@ -113,7 +113,7 @@
   const error_kind failure = result.succeeded ? error_kind::kAnswerMismatched : result.failure;
   const executed_state executed = result.succeeded ? executed_state::kYes : result.executed;
   const attempt ended = EndAttempt(tables, ctx, query, result.attempt.value, OutcomeOf(failure), executed);
-  if (failure == error_kind::kBackendShed) {
+  if (failure == error_kind::kBackendShed || failure == error_kind::kOverloaded) {
     routing::AddShed(tables.statistics.services[ServiceOf(tables, query, ended.shard)].queue, ctx.now);
   }
   JudgeServer(tables, ctx, ended.statistics);
--- a/core/entry/retry.cc
+++ b/core/entry/retry.cc
@@ -52,12 +52,12 @@
 }
 
 /// Why the query as a whole must end after this failure, if it must.
-std::optional<base::error> EndOf(instance::context& ctx, query& query, const shard_task& task, error_kind failure) {
+std::optional<base::error> EndOf(query& query, const shard_task& task, error_kind failure) {
   if (failure == error_kind::kRequestWithheld) {
     return base::error{failure, "a gatherer withholds the request because it crashed backend servers"};
   }
+  // The gatherers judge whether the request is to blame; here, two runs are the bound in any case.
   if (IsSecondCrash(query, failure)) {
-    membership::RecordWithheld(ctx.facts, query.fingerprint, query.config->limit.withhold_time, ctx.now);
     return base::error{error_kind::kRequestWithheld, "two backend servers lost their connection while running it"};
   }
   if (!query.rule->repeatable && query.executed != executed_state::kNo) {
@@ -88,6 +88,13 @@
   if (failure == error_kind::kPeerUnreachable || failure == error_kind::kNotHolder) task.tried &= ~bit;
 }
 
+/// True for failures of calls that have not reached a backend server. Their retries add no load there, so they need no
+/// budget, only the backoff.
+bool IsLocalRefusal(error_kind failure) {
+  return failure == error_kind::kOverloaded || failure == error_kind::kNotHolder ||
+         failure == error_kind::kPeerUnreachable || failure == error_kind::kProcessPaused;
+}
+
 bool AllReplicasGone(entry_tables& tables, const instance::context& ctx, const query& query, std::uint32_t shard) {
   if (query.shards[shard].snapshot_gone == 0) return false;
   return !PickReplica(tables, ctx, query, shard, routing::replica_rank::kDraining).has_value();
@@ -125,25 +132,25 @@
   if (query.ending || task.state != shard_state::kOpen) return;
   task.last_failure = failure;
   NoteFailure(tables, ctx, query, ended, failure);
-  query.ending = EndOf(ctx, query, task, failure);
+  query.ending = EndOf(query, task, failure);
   if (query.ending || task.running > 0) return;
   if (AllReplicasGone(tables, ctx, query, ended.shard)) {
     query.wants_restart = true;
     return;
   }
-  const bool retryable = base::DescribeError(failure).retry_elsewhere || failure == error_kind::kCancelled ||
-                         failure == error_kind::kDeadlineExceeded;
-  if (!retryable) {
+  if (failure == error_kind::kBackendRejected) {
     FailShard(query, ended.shard);
     return;
   }
   const bool first = task.attempts == 1;
+  const bool not_run = executed == executed_state::kNo;
   const bool other_holder = failure == error_kind::kPeerUnreachable || failure == error_kind::kNotHolder;
-  const bool free = executed == executed_state::kNo && (first || (other_holder && task.attempts <= 3));
   const bool crash_retry = query.suspected_crashes == 1 && failure == error_kind::kConnectionLost;
-  const bool at_once = free || crash_retry || failure == error_kind::kSnapshotGone;
+  const bool at_once = (not_run && (first || (other_holder && task.attempts <= 3))) || crash_retry ||
+                       failure == error_kind::kSnapshotGone;
+  const bool free = at_once || (not_run && IsLocalRefusal(failure));
   const base::duration delay = at_once ? base::duration::zero() : Backoff(tables, ctx, query, ended.shard);
-  ScheduleRetry(query, ended.shard, ctx.now + delay, at_once);
+  ScheduleRetry(query, ended.shard, ctx.now + delay, free);
 }
 
 void RunRetries(entry_tables& tables, instance::context& ctx, query& query) {
--- a/core/entry/start.cc
+++ b/core/entry/start.cc
@@ -40,7 +40,7 @@
   std::string detail;
   if (static_cast<double>(in_flight) >= std::floor(usable)) {
     detail = fmt::format("{} queries are in flight at this instance, the bound is {}", in_flight, std::floor(usable));
-  } else if (!routing::Admits(limit, query.weight, urgent)) {
+  } else if (query.config->limit.admission && !routing::Admits(limit, query.weight, urgent)) {
     detail = fmt::format("{} queries of collection \"{}\" are in flight, the present limit is {:.1f} whole fan-outs",
                          limit.in_flight, query.request.collection.value, limit.limit);
   } else {
--- a/core/routing/replica_choice.h
+++ b/core/routing/replica_choice.h
@@ -16,6 +16,8 @@
   kEjected,
   /// An attempt of the same query has failed or is running there.
   kTried,
+  /// No instance that holds connections to it can be expected to answer.
+  kNoHolder,
   kDraining,
   /// Cannot be used at all.
   kUnusable,
