Test the entry and routing policies; measure queues without urgent calls

Cause: urgent calls overtake, so their short waits hid a standing queue from the admission limit; a bound on the mean delay is added to the bound on the share of delayed calls.

--- a/core/entry/results.cc
+++ b/core/entry/results.cc
@@ -43,7 +43,7 @@
 
 void RecordSuccess(entry_tables& tables, const instance::context& ctx, const query& query, const attempt& made,
                    const peer::attempt_result& result) {
-  routing::RecordCallTimes(tables.statistics, made.statistics, base::duration(result.queued_us),
+  routing::RecordCallTimes(tables.statistics, made.statistics, query.rule->urgent, base::duration(result.queued_us),
                            base::duration(result.called_us), ctx.now);
   if (result.draining) {
     tables.statistics.servers[made.statistics].drain_hint_until = ctx.now + std::chrono::seconds(5);
--- a/core/routing/admission.cc
+++ b/core/routing/admission.cc
@@ -22,9 +22,23 @@
 constexpr double kFastIncrease = 1.25;
 constexpr double kSmallestStep = 0.1;
 
+/// Bounds of the mean delay, in usual call times: the share says nothing about how long the calls wait.
+constexpr int kStandingMean = 2;
+constexpr double kRoomMean = 1.5;
+constexpr base::duration kShortestCall = std::chrono::milliseconds(5);
+
+bool IsStanding(const queue_state& worst, base::duration healthy) {
+  return worst.delayed_share > kStandingShare || worst.mean > kStandingMean * std::max(healthy, kShortestCall);
+}
+
+bool HasRoom(const queue_state& worst, base::duration healthy) {
+  const auto usual = static_cast<double>(std::max(healthy, kShortestCall).count());
+  return worst.delayed_share < kRoomShare && static_cast<double>(worst.mean.count()) < kRoomMean * usual;
+}
+
 bool IsStrong(const queue_state& worst, base::duration healthy) {
   if (worst.shed > 5 * kShedShare * (worst.calls + worst.shed)) return true;
-  return worst.mean > 3 * std::max<base::duration>(healthy, std::chrono::milliseconds(5));
+  return worst.mean > 2 * kStandingMean * std::max(healthy, kShortestCall);
 }
 
 }  // namespace
@@ -55,13 +69,13 @@
   limit.adjusted = now;
   const bool shedding = worst.shed > kShedShare * (worst.calls + worst.shed);
   const bool enough = worst.calls + worst.shed >= kFewestCalls;
-  if (enough && (shedding || worst.delayed_share > kStandingShare)) {
+  if (enough && (shedding || IsStanding(worst, healthy))) {
     // The limit follows what is really in flight, else it would take long to become effective.
     const double used = std::min(limit.limit, std::max(limit.peak, kLowestLimit));
     limit.limit = used * (IsStrong(worst, healthy) ? kStrongDecrease : kDecrease);
   } else if (limit.refused_since > 0 && worst.delayed_share < kIdleShare) {
     limit.limit = limit.limit * kFastIncrease + kSmallestStep;
-  } else if (limit.refused_since > 0 && worst.delayed_share < kRoomShare) {
+  } else if (limit.refused_since > 0 && HasRoom(worst, healthy)) {
     limit.limit = limit.limit * kIncrease + kSmallestStep;
   }
   limit.limit = std::max(limit.limit, kLowestLimit);
--- a/core/routing/backend_statistics.cc
+++ b/core/routing/backend_statistics.cc
@@ -81,14 +81,15 @@
   }
 }
 
-void RecordCallTimes(statistics_table& table, std::uint32_t server, base::duration queued, base::duration called,
-                     base::time_point now) {
+void RecordCallTimes(statistics_table& table, std::uint32_t server, bool urgent, base::duration queued,
+                     base::duration called, base::time_point now) {
   service_statistics& service = table.services[table.servers[server].service];
   const auto sample = static_cast<double>(called.count());
   if (service.called_us == 0) service.called_us = sample;
   service.called_us += kCalledWeight * (std::min(sample, kSampleCap * service.called_us) - service.called_us);
   const base::duration usual(static_cast<std::int64_t>(service.called_us));
-  AddQueueDelay(service.queue, queued, QueueTarget(usual), now);
+  const base::duration target = QueueTarget(usual);
+  if (!urgent || queued > target) AddQueueDelay(service.queue, queued, target, now);
 }
 
 double EffectiveLatencyUs(const statistics_table& table, const server_statistics& server, base::time_point now) {
--- a/core/routing/backend_statistics.h
+++ b/core/routing/backend_statistics.h
@@ -89,9 +89,10 @@
 void RecordCallEnd(statistics_table& table, std::uint32_t server, call_outcome outcome, base::duration latency,
                    bool ended, base::time_point now);
 
-/// Takes the times that the gatherer reports of a successful call.
-void RecordCallTimes(statistics_table& table, std::uint32_t server, base::duration queued, base::duration called,
-                     base::time_point now);
+/// Takes the times that the gatherer reports of a successful call. Urgent calls overtake the others, so one that did
+/// not wait says nothing about the queue.
+void RecordCallTimes(statistics_table& table, std::uint32_t server, bool urgent, base::duration queued,
+                     base::duration called, base::time_point now);
 
 /// Recent latency of the server that drifts back to the service's median without new samples.
 double EffectiveLatencyUs(const statistics_table& table, const server_statistics& server, base::time_point now);
--- /dev/null
+++ b/tests/core/entry/entry_world.h
@@ -0,0 +1,175 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/config/parse.h"
+#include "core/entry/entry.h"
+#include "tests/core/config/test_configuration.h"
+
+namespace limpetrouter::core::entry {
+
+/// A request for one call that the entry has sent.
+struct sent_call {
+  base::instance_id gatherer;
+  peer::gather_request request;
+  peer::gather_item item;
+};
+
+/// An entry with hand-made members and placement. The test plays the gatherers.
+struct entry_world {
+  entry_tables tables;
+  membership::member_table members;
+  membership::placement placement;
+  membership::fact_table facts;
+  base::random_source random{7};
+  io::command_list out;
+  config::configuration_ptr config;
+  base::time_point now{std::chrono::seconds(10)};
+  bool leaving = false;
+  std::uint64_t next_handle = 1;
+
+  entry_world() {
+    members.self.ref = {base::instance_id("k1"), base::incarnation_id(100)};
+    members.self.http_address = "127.0.0.1:8101";
+    members.self.peer_address = "127.0.0.1:9101";
+    AddMember("k2");
+    AddMember("k3");
+    Accept(1, config::MakeTestDocument());
+  }
+
+  void AddMember(const std::string& id) {
+    membership::member added;
+    added.info.member = {base::instance_id(id), base::incarnation_id(200)};
+    added.info.http_address = "http-" + id;
+    added.info.peer_address = "peer-" + id;
+    members.members[base::instance_id(id)] = added;
+  }
+
+  /// Puts a configuration in force; k2 holds all backend servers, k3 stands by.
+  void Accept(std::uint64_t revision, const nlohmann::json& document) {
+    config = *config::ParseConfiguration(config::MakeSource(revision, document));
+    placement.by_backend_server.assign(config->backend_servers.size(),
+                                       {base::instance_id("k2"), base::instance_id("k3")});
+    placement.revision = config->revision;
+  }
+
+  instance::context Context() { return {now, config, members, placement, facts, random, out, leaving}; }
+
+  std::uint64_t Ask(const std::string& operation, const std::string& key = "", const std::string& permit = "",
+                    std::int64_t deadline_ms = 0) {
+    io::query_received event;
+    event.handle = base::reply_handle(next_handle++);
+    event.request.request_id = "r" + std::to_string(event.handle.value);
+    event.request.collection = base::collection_id("ledger");
+    event.request.operation = base::operation_id(operation);
+    event.request.key = key;
+    event.request.permit = permit;
+    event.request.deadline_ms = deadline_ms;
+    instance::context ctx = Context();
+    HandleQuery(tables, ctx, event);
+    return event.handle.value;
+  }
+
+  void Tick(base::duration step = std::chrono::milliseconds(5)) {
+    now += step;
+    instance::context ctx = Context();
+    RunEntry(tables, ctx);
+  }
+
+  /// Takes the calls sent since the last time.
+  std::vector<sent_call> TakeCalls() {
+    std::vector<sent_call> calls;
+    std::erase_if(out, [&](const io::command& command) {
+      const auto* send = std::get_if<io::send_peer>(&command);
+      if (send == nullptr) return false;
+      const auto* request = std::get_if<peer::gather_request>(&send->message.body);
+      if (request == nullptr) return false;
+      for (const peer::gather_item& item : request->items)
+        calls.push_back({send->target, *request, item});
+      return true;
+    });
+    return calls;
+  }
+
+  /// Takes the messages of one kind with their targets.
+  template <class Body>
+  std::vector<std::pair<base::instance_id, Body>> TakeMessages() {
+    std::vector<std::pair<base::instance_id, Body>> bodies;
+    std::erase_if(out, [&](const io::command& command) {
+      const auto* send = std::get_if<io::send_peer>(&command);
+      if (send == nullptr || !std::holds_alternative<Body>(send->message.body)) return false;
+      bodies.emplace_back(send->target, std::get<Body>(send->message.body));
+      return true;
+    });
+    return bodies;
+  }
+
+  std::optional<peer::query_answer> TakeReply(std::uint64_t handle) {
+    std::optional<peer::query_answer> answer;
+    std::erase_if(out, [&](const io::command& command) {
+      const auto* reply = std::get_if<io::reply_query>(&command);
+      if (reply == nullptr || reply->handle.value != handle) return false;
+      answer = reply->answer;
+      return true;
+    });
+    return answer;
+  }
+
+  peer::attempt_result Success(const sent_call& call) const {
+    peer::attempt_result result;
+    result.attempt = call.item.attempt;
+    result.shard = call.item.shard;
+    result.backend_server = call.item.backend_server;
+    result.succeeded = true;
+    result.executed = base::executed_state::kYes;
+    result.snapshot = call.request.snapshot;
+    const config::snapshot* snapshot = config::FindSnapshot(*config, call.request.collection, call.request.snapshot);
+    result.documents = snapshot->shards[call.item.shard.value].documents;
+    result.rows = {{"row" + std::to_string(call.item.shard.value), "{}"}};
+    result.totals = {{"litres", 10}};
+    result.called_us = 4000;
+    return result;
+  }
+
+  static peer::attempt_result Failure(const sent_call& call, base::error_kind kind, base::executed_state executed) {
+    peer::attempt_result result;
+    result.attempt = call.item.attempt;
+    result.shard = call.item.shard;
+    result.backend_server = call.item.backend_server;
+    result.failure = kind;
+    result.executed = executed;
+    return result;
+  }
+
+  void Answer(const sent_call& call, const peer::attempt_result& result) { AnswerFrom(call.gatherer, call, result); }
+
+  void AnswerFrom(const base::instance_id& sender, const sent_call& call, const peer::attempt_result& result) {
+    peer::message_header header;
+    header.sender = {sender, base::incarnation_id(200)};
+    instance::context ctx = Context();
+    HandleGatherAnswer(tables, ctx, header, {members.self.ref, call.request.query, {result}});
+  }
+
+  std::vector<std::string> Permits(std::uint32_t count) {
+    instance::context ctx = Context();
+    HandleAddresses(tables, ctx, {base::reply_handle(9999), "caller", count});
+    std::vector<std::string> permits = std::get<io::reply_addresses>(out.back()).answer.permits;
+    out.pop_back();
+    return permits;
+  }
+};
+
+/// Document with a second servable snapshot, canaries off for sweeps.
+inline nlohmann::json WithoutCanary() {
+  nlohmann::json document = config::MakeTestDocument();
+  document["rules"]["collections"][0]["operations"][0]["canary"] = false;
+  document["inventory"]["backend_servers"][2]["state"] = "active";
+  return document;
+}
+
+}  // namespace limpetrouter::core::entry
--- /dev/null
+++ b/tests/core/routing/policies_test.cc
@@ -0,0 +1,116 @@
+#include <catch2/catch.hpp>
+
+#include "core/routing/admission.h"
+#include "core/routing/call_budget.h"
+#include "core/routing/ejection.h"
+#include "core/routing/latency_window.h"
+#include "core/routing/replica_choice.h"
+
+namespace limpetrouter::core::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const base::time_point kNow{seconds(100)};
+
+// Guards against extra calls beyond their share, and against a burst after a quiet time.
+TEST_CASE("a budget grants its share of recent calls") {
+  call_budget budget;
+  CountCalls(budget, 1000, kNow);
+  int granted = 0;
+  while (TakeExtraCall(budget, 0.03, kNow))
+    ++granted;
+  CHECK(granted == 32);
+  CHECK_FALSE(TakeExtraCall(budget, 0.0, kNow));
+  CHECK(RecentUse(budget, kNow + seconds(5)).calls == 0);
+  granted = 0;
+  while (TakeExtraCall(budget, 0.03, kNow + seconds(5)))
+    ++granted;
+  CHECK(granted == 2);
+}
+
+// Guards against a hedge threshold that stragglers move out of reach.
+TEST_CASE("stragglers do not move the hedge threshold") {
+  const int stragglers = GENERATE(0, 1, 10);
+  latency_window window;
+  for (int i = 0; i < 1000; ++i) {
+    const bool slow = i % 100 < stragglers;
+    AddLatency(window, slow ? milliseconds(200) : milliseconds(10) + base::duration(i % 50 * 100), kNow);
+  }
+  RefreshSummary(window, 0.03, kNow);
+  CHECK(window.straggler_share == Approx(stragglers / 100.0).margin(0.001));
+  CHECK(window.hedge_after > milliseconds(13));
+  CHECK(window.hedge_after < milliseconds(17));
+}
+
+// Guards against calls to a server that should be avoided, and against no call when only avoided ones are left.
+TEST_CASE("the best rank decides, then the score") {
+  base::random_source random{3};
+  const std::vector<replica_candidate> candidates = {
+      {0, replica_rank::kEjected, 1}, {1, replica_rank::kGood, 9}, {2, replica_rank::kGood, 5}};
+  for (int i = 0; i < 20; ++i)
+    CHECK(ChooseReplica(candidates, replica_rank::kDraining, random) == 2U);
+  CHECK(ChooseReplica({candidates[0]}, replica_rank::kDraining, random) == 0U);
+  CHECK_FALSE(ChooseReplica({candidates[0]}, replica_rank::kOnProbation, random));
+}
+
+statistics_table ThreeServers() {
+  auto config = std::make_shared<config::configuration>();
+  for (const char* id : {"a", "b", "c"}) {
+    config::backend_server server;
+    server.id = base::backend_server_id(id);
+    server.service = base::service_id("s");
+    config->backend_servers.push_back(server);
+  }
+  statistics_table table;
+  MakeStatisticsView(table, config);
+  return table;
+}
+
+// Guards against traffic to a broken server, and against an ejection of most of a service.
+TEST_CASE("consecutive failures eject at most a third of a service") {
+  const auto outcome = GENERATE(call_outcome::kFailure, call_outcome::kSlow);
+  statistics_table table = ThreeServers();
+  for (const std::uint32_t server : {0U, 1U}) {
+    for (int i = 0; i < 6; ++i) {
+      RecordCallStart(table, server);
+      RecordCallEnd(table, server, outcome, milliseconds(10), true, kNow);
+    }
+    ConsiderEjection(table, server, kNow);
+  }
+  CHECK(IsEjected(table.servers[0], kNow));
+  CHECK_FALSE(IsEjected(table.servers[1], kNow));
+  CHECK_FALSE(IsEjected(table.servers[0], kNow + seconds(2)));
+  CHECK(table.servers[0].outstanding == 0);
+}
+
+// Guards against a limit that lets queues stand, one that refuses without need, and urgent requests that are refused.
+TEST_CASE("the admission limit follows the queueing delay") {
+  struct row {
+    queue_state state;
+    std::uint32_t refused;
+    int direction;
+  };
+  const queue_state standing{0.9, milliseconds(30), 100, 0};
+  const queue_state idle{0.1, milliseconds(1), 100, 0};
+  const queue_state shedding{0.1, milliseconds(1), 100, 10};
+  const queue_state balanced{0.7, milliseconds(10), 100, 0};
+  const auto r =
+      GENERATE_COPY(values<row>({{standing, 5, -1}, {shedding, 5, -1}, {idle, 5, 1}, {idle, 0, 0}, {balanced, 5, 0}}));
+  admission_limit limit;
+  limit.limit = 10;
+  for (int i = 0; i < 10; ++i)
+    CountAdmitted(limit, 1);
+  CHECK_FALSE(Admits(limit, 1, false));
+  CHECK(Admits(limit, 1, true));
+  limit.refused_since = r.refused;
+  AdjustLimit(limit, r.state, milliseconds(10), kNow);
+  CHECK((limit.limit > 10) - (limit.limit < 10) == r.direction);
+  for (int i = 0; i < 10; ++i)
+    CountEnded(limit, 1, milliseconds(10));
+  CHECK(limit.weight_in_flight == 0);
+}
+
+}  // namespace
+}  // namespace limpetrouter::core::routing
