Let the admission limit pass over bursts

Cause: one measurement period with a queue lowered the limit to what was in flight, and the next burst was refused although capacity was free.

--- a/core/entry/addresses.cc
+++ b/core/entry/addresses.cc
@@ -27,6 +27,7 @@
 std::vector<io::caller_address> AddressesFor(const instance::context& ctx, const std::string& caller) {
   const std::uint64_t seed = base::HashBytes(caller);
   std::vector<ranked_address> ranked;
+  ranked.reserve(ctx.members.members.size() + 1);
   const auto add = [&](const base::instance_id& id, const std::string& address) {
     if (!address.empty()) ranked.push_back({base::HashBytes(id.value, seed), {id, address}});
   };
@@ -39,6 +40,7 @@
   });
   if (ranked.size() > kMaxAddresses) ranked.resize(kMaxAddresses);
   std::vector<io::caller_address> addresses;
+  addresses.reserve(ranked.size());
   for (ranked_address& entry : ranked)
     addresses.push_back(std::move(entry.address));
   return addresses;
--- a/core/entry/attempts.cc
+++ b/core/entry/attempts.cc
@@ -14,7 +14,6 @@
 namespace limpetrouter::core::entry {
 namespace {
 
-using base::error_kind;
 using base::executed_state;
 
 /// Samples that make the quantiles of one service better than those of its whole collection.
--- a/core/entry/plan.cc
+++ b/core/entry/plan.cc
@@ -192,7 +192,7 @@
   }
 }
 
-double InitialLimit(const config::configuration& config, const config::snapshot& snapshot) {
+double SlotCapacity(const config::configuration& config, const config::snapshot& snapshot) {
   std::map<base::service_id, std::pair<std::uint32_t, std::uint32_t>> slots_and_shards;
   for (const config::shard& shard : snapshot.shards)
     ++slots_and_shards[shard.service].second;
@@ -204,7 +204,7 @@
   for (const auto& [service, counts] : slots_and_shards) {
     smallest = std::min(smallest, static_cast<double>(counts.first) / counts.second);
   }
-  return std::max(routing::kLowestLimit, 2 * smallest);
+  return std::max(1.0, smallest);
 }
 
 }  // namespace limpetrouter::core::entry
--- a/core/entry/plan.h
+++ b/core/entry/plan.h
@@ -24,8 +24,7 @@
 std::optional<std::uint32_t> PickReplica(entry_tables& tables, const instance::context& ctx, const query& query,
                                          std::uint32_t shard, routing::replica_rank worst);
 
-/// Sets the admission limit of a collection that had no query yet: twice the queries that the slots of its smallest
-/// service can run at once. The adaptive limit corrects it from there.
-double InitialLimit(const config::configuration& config, const config::snapshot& snapshot);
+/// Whole queries that the slots of the smallest service of a collection can run at once.
+double SlotCapacity(const config::configuration& config, const config::snapshot& snapshot);
 
 }  // namespace limpetrouter::core::entry
--- a/core/entry/start.cc
+++ b/core/entry/start.cc
@@ -30,13 +30,24 @@
   return std::clamp(wait, kShortestRetryAfterMs, kLongestRetryAfterMs);
 }
 
+/// The first limit lets one entry alone load all slots twice over; the adaptive limit corrects it from there. The floor
+/// is this entry's part of a load that keeps all slots busy and lets calls wait for about two call times.
+void SetFirstLimit(routing::admission_limit& limit, const instance::context& ctx, const query& query) {
+  constexpr double kFirstFactor = 2.0;
+  constexpr double kFloorFactor = 2.5;
+  const double capacity = SlotCapacity(*query.config, *query.snapshot);
+  const auto instances = static_cast<double>(ctx.members.members.size() + 1);
+  limit.limit = kFirstFactor * capacity;
+  limit.floor = std::max(1.0, kFloorFactor * capacity / instances);
+}
+
 std::optional<start_refusal> CheckAdmission(entry_tables& tables, const instance::context& ctx, const query& query) {
   const std::size_t in_flight = tables.queries.queries.size();
   const std::uint32_t bound = query.config->limit.max_queries_in_flight;
   const bool urgent = query.rule->urgent;
   const double usable = urgent ? bound : bound * (1 - kUrgentReserve);
   routing::admission_limit& limit = tables.collections[query.request.collection].admission;
-  if (limit.limit == 0) limit.limit = InitialLimit(*query.config, *query.snapshot);
+  if (limit.limit == 0) SetFirstLimit(limit, ctx, query);
   std::string detail;
   if (static_cast<double>(in_flight) >= std::floor(usable)) {
     detail = fmt::format("{} queries are in flight at this instance, the bound is {}", in_flight, std::floor(usable));
--- a/core/routing/admission.cc
+++ b/core/routing/admission.cc
@@ -6,11 +6,13 @@
 namespace {
 
 /// Queues are standing if more than this share of the calls waits longer than the target. The share, not the mean, is
-/// controlled: a server with few slots is at 95% of its capacity when about three calls in four wait a little, whereas
+/// controlled: a server with few slots is at 95% of its capacity when most calls wait a little, whereas
 /// the mean delay is then dominated by rare long waits.
-constexpr double kStandingShare = 0.75;
+constexpr double kStandingShare = 0.90;
 /// Below this share there is room for more queries.
-constexpr double kRoomShare = 0.60;
+constexpr double kRoomShare = 0.80;
+/// A single period may be a burst, which passes by itself.
+constexpr std::uint32_t kStandingPeriods = 2;
 constexpr double kDecrease = 0.93;
 constexpr double kStrongDecrease = 0.80;
 constexpr double kIncrease = 1.04;
@@ -69,16 +71,18 @@
   limit.adjusted = now;
   const bool shedding = worst.shed > kShedShare * (worst.calls + worst.shed);
   const bool enough = worst.calls + worst.shed >= kFewestCalls;
-  if (enough && (shedding || IsStanding(worst, healthy))) {
+  const bool overloaded = enough && (shedding || IsStanding(worst, healthy));
+  limit.standing = overloaded ? limit.standing + 1 : 0;
+  if (limit.standing >= kStandingPeriods || (overloaded && IsStrong(worst, healthy))) {
     // The limit follows what is really in flight, else it would take long to become effective.
-    const double used = std::min(limit.limit, std::max(limit.peak, kLowestLimit));
+    const double used = std::min(limit.limit, std::max(limit.peak, limit.floor));
     limit.limit = used * (IsStrong(worst, healthy) ? kStrongDecrease : kDecrease);
-  } else if (limit.refused_since > 0 && worst.delayed_share < kIdleShare) {
+  } else if (!overloaded && limit.refused_since > 0 && worst.delayed_share < kIdleShare) {
     limit.limit = limit.limit * kFastIncrease + kSmallestStep;
-  } else if (limit.refused_since > 0 && HasRoom(worst, healthy)) {
+  } else if (!overloaded && limit.refused_since > 0 && HasRoom(worst, healthy)) {
     limit.limit = limit.limit * kIncrease + kSmallestStep;
   }
-  limit.limit = std::max(limit.limit, kLowestLimit);
+  limit.limit = std::max(limit.limit, limit.floor);
   limit.peak = limit.weight_in_flight;
   limit.refused_since = 0;
 }
--- a/core/routing/admission.h
+++ b/core/routing/admission.h
@@ -12,6 +12,10 @@
 struct admission_limit {
   /// Zero until the first query sets it from the configured slots.
   double limit = 0;
+  /// The limit does not fall below it. If all entries are at their floor, calls wait for about two call times.
+  double floor = 1;
+  /// Adjustment periods in a row with a standing queue.
+  std::uint32_t standing = 0;
   double weight_in_flight = 0;
   std::uint32_t in_flight = 0;
   /// Highest weight in flight since the last adjustment.
@@ -25,9 +29,6 @@
   double query_us = 0;
 };
 
-/// Smallest limit, so that some queries always probe whether there is capacity.
-inline constexpr double kLowestLimit = 1;
-
 /// Whether one more query fits. Urgent ones pass the adaptive limit; a lone query always fits.
 bool Admits(const admission_limit& limit, double weight, bool urgent);
 void CountAdmitted(admission_limit& limit, double weight);
