Close the fake's connection after a non-repeatable call

Cause: the fake kept each fresh connection of a transfer as idle, reached the server's limit after some 20 s and then refused every connect; scenario shutdown answered 93.1% and healthy counted 4 limit violations. Ruled out: a leak in the gatherer, whose open calls stayed within its share.

--- a/tests/scenario/world_backend.cc
+++ b/tests/scenario/world_backend.cc
@@ -63,7 +63,8 @@
   const auto end = [this, instance, life, key, id, call](backend_reply reply, bool close) {
     process& owner = ProcessOf(instance);
     if (!owner.running || owner.life != life || owner.calls.erase(key) == 0) return;
-    ReleaseConnection(owner, id, close);
+    // The daemon never reuses the connection of a call that must not be repeated.
+    ReleaseConnection(owner, id, close || !call.repeatable);
     reply.result.attempt = call.attempt;
     reply.result.shard = call.shard;
     reply.result.backend_server = call.backend_server;
