--- a/core/gather/health.cc
+++ b/core/gather/health.cc
@@ -47,6 +47,11 @@
   FailQueued(tables, ctx, holding, error_kind::kConnectFailed);
 }
 
+/// Rules can switch the ramp off.
+void BecomeCold(const instance::context& ctx, holding& holding) {
+  if (ctx.config == nullptr || ctx.config->limit.cold_start_ramp) StartCold(holding.slots, ctx.now);
+}
+
 void NoteSuccess(instance::context& ctx, holding& holding) {
   holding_health& health = holding.health;
   health.connect_failures = 0;
@@ -55,14 +60,14 @@
   health.failing = false;
   health.open_ahead = true;
   health.next_probe = std::min(health.next_probe, ctx.now + Jitter(ctx.random, kFirstProbeBackoff));
-  StartCold(holding.slots, ctx.now);
+  BecomeCold(ctx, holding);
   instance::LogDecision(ctx, "readmit", {{"backend_server", holding.id.value}});
 }
 
 void NoteBoot(instance::context& ctx, holding& holding, std::uint64_t boot) {
   if (boot == 0 || boot == holding.boot) return;
   if (holding.boot != 0) {
-    StartCold(holding.slots, ctx.now);
+    BecomeCold(ctx, holding);
     holding.health.open_ahead = true;
     holding.health.next_probe = ctx.now;
     instance::LogDecision(ctx, "restart", {{"backend_server", holding.id.value}});
