Give the second run of a suspected request to one replica

Ruled out: refusing all replicas but the next one, which would keep an innocent request from running while that replica is down.

The gatherer now lets replicas further on in the order of the fingerprint wait 100 ms each, and drops the call when the news of the second crash comes.

--- a/core/gather/gather.cc
+++ b/core/gather/gather.cc
@@ -84,7 +84,7 @@
   call.state = call_state::kWaiting;
   if (const auto obstacle = CheckGuarded(tables, ctx, call)) {
     FinishNotRun(tables, ctx, key, *obstacle);
-  } else if (!AdmitGuarded(tables, call)) {
+  } else if (!AdmitGuarded(tables, ctx, call)) {
     FinishNotRun(tables, ctx, key, error_kind::kOverloaded);
   }
 }
@@ -200,6 +200,7 @@
   CloseIncidents(tables, ctx);
   CheckDrains(tables, ctx);
   ExpireCalls(tables, ctx);
+  RunHeld(tables, ctx);
   SendProbes(tables, ctx);
   if (ctx.now >= tables.next_entry_check) {
     tables.next_entry_check = ctx.now + kEntryCheckInterval;
--- a/core/gather/gather_tables.h
+++ b/core/gather/gather_tables.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -24,7 +23,10 @@
   std::uint32_t entry = 0;
   std::uint64_t attempt = 0;
 
-  friend auto operator<=>(const call_key&, const call_key&) = default;
+  friend bool operator==(const call_key&, const call_key&) = default;
+  friend bool operator<(const call_key& a, const call_key& b) {
+    return a.entry != b.entry ? a.entry < b.entry : a.attempt < b.attempt;
+  }
 };
 
 struct call_key_hash {
@@ -179,6 +181,8 @@
 /// Calls with one unproven or suspected fingerprint: one is queued or runs, the others wait.
 struct fingerprint_guard {
   call_key active;
+  /// The active call is suspected and starts no earlier, as another replica comes first.
+  base::time_point held_until{};
   std::deque<call_key> waiting;
 };
 
--- a/core/gather/guards.cc
+++ b/core/gather/guards.cc
@@ -1,10 +1,12 @@
 #include "core/gather/guards.h"
 
 #include <utility>
+#include <vector>
 
 #include "core/base/digest.h"
 #include "core/base/random.h"
 #include "core/gather/calls.h"
+#include "core/gather/second_run.h"
 
 namespace limpetrouter::core::gather {
 namespace {
@@ -33,6 +35,19 @@
   return CheckGuarded(tables, ctx, call);
 }
 
+/// Makes a call the one that is under way.
+void Activate(gather_tables& tables, const instance::context& ctx, fingerprint_guard& guard, call& call) {
+  guard.active = call.key;
+  guard.held_until = {};
+  const base::duration delay = call.alone ? SecondRunDelay(ctx, call) : base::duration::zero();
+  if (delay <= base::duration::zero()) {
+    EnqueueCall(tables, call);
+    return;
+  }
+  call.state = call_state::kWaiting;
+  guard.held_until = ctx.now + delay;
+}
+
 /// The next waiting call that still exists.
 call* TakeWaiting(gather_tables& tables, fingerprint_guard& guard) {
   while (!guard.waiting.empty()) {
@@ -82,12 +97,11 @@
   return std::nullopt;
 }
 
-bool AdmitGuarded(gather_tables& tables, call& call) {
+bool AdmitGuarded(gather_tables& tables, const instance::context& ctx, call& call) {
   const auto [found, added] = tables.guards.try_emplace(call.request->fingerprint);
   fingerprint_guard& guard = found->second;
   if (added) {
-    guard.active = call.key;
-    EnqueueCall(tables, call);
+    Activate(tables, ctx, guard, call);
     return true;
   }
   if (guard.waiting.size() >= kMaxWaiting) return false;
@@ -111,8 +125,7 @@
   while (call* const next = TakeWaiting(tables, guard)) {
     const auto obstacle = TurnObstacle(tables, ctx, *next);
     if (!obstacle.has_value()) {
-      guard.active = next->key;
-      EnqueueCall(tables, *next);
+      Activate(tables, ctx, guard, *next);
       return;
     }
     // It is not the active call, so its end does not come back here.
@@ -121,6 +134,25 @@
   tables.guards.erase(found);
 }
 
+void RunHeld(gather_tables& tables, instance::context& ctx) {
+  std::vector<call_key> held;
+  for (const auto& [fingerprint, guard] : tables.guards) {
+    if (guard.held_until != base::time_point{}) held.push_back(guard.active);
+  }
+  for (const call_key& key : held) {
+    const auto found = tables.calls.find(key);
+    if (found == tables.calls.end() || found->second.state != call_state::kWaiting) continue;
+    call& call = found->second;
+    fingerprint_guard& guard = tables.guards.at(call.request->fingerprint);
+    if (const auto obstacle = TurnObstacle(tables, ctx, call)) {
+      FinishNotRun(tables, ctx, key, *obstacle);
+    } else if (guard.held_until <= ctx.now) {
+      guard.held_until = {};
+      EnqueueCall(tables, call);
+    }
+  }
+}
+
 void Distrust(gather_tables& tables, base::fingerprint_id fingerprint) {
   // The orders keep their entries; a value that is no longer in its set is harmless there.
   tables.fingerprints.proven.erase(fingerprint.value);
--- a/core/gather/guards.h
+++ b/core/gather/guards.h
@@ -19,7 +19,10 @@
 std::optional<base::error_kind> CheckGuarded(const gather_tables& tables, const instance::context& ctx, call& call);
 
 /// Queues a guarded call, or lets it wait if another one with its fingerprint is under way. False if too many wait.
-bool AdmitGuarded(gather_tables& tables, call& call);
+bool AdmitGuarded(gather_tables& tables, const instance::context& ctx, call& call);
+
+/// Queues suspected calls whose turn has come, and ends those that must not run any longer.
+void RunHeld(gather_tables& tables, instance::context& ctx);
 
 /// A guarded call has ended. After a success the waiting calls run; otherwise the next one of them takes its place.
 void EndGuarded(gather_tables& tables, instance::context& ctx, const call& ended, bool succeeded);
--- a/tests/core/gather/crash_evidence_test.cc
+++ b/tests/core/gather/crash_evidence_test.cc
@@ -139,6 +139,39 @@
   CHECK(IsIdle(tables));
 }
 
+// Guards against a third crash by a hedge that runs at the same time as the second run on another replica.
+TEST_CASE_METHOD(gather_fixture, "the second run belongs to the replica after the crashed one, the next one waits") {
+  config::configuration made = *config;
+  config::shard_map map;
+  map.collection = base::collection_id("ledger");
+  map.snapshots.resize(1);
+  map.snapshots[0].shards.resize(1);
+  map.snapshots[0].shards[0].replicas = {0, 1, 2};
+  made.shard_maps = {map};
+  made.shard_map_index = {{map.collection, 0}};
+  SetConfiguration(std::move(made));
+  struct row {
+    std::string crashed;
+    bool at_once;
+    bool withheld;
+  };
+  const auto r = GENERATE(values<row>({{"s3", true, false}, {"s2", false, false}, {"s2", false, true}}));
+  const std::uint64_t hash = base::HashBytes(r.crashed);
+  RecordSuspected(facts, kBad, {hash, true}, std::chrono::minutes(10), now);
+  peer::gather_request request = Unproven(kBad, 1);
+  request.collection = map.collection;
+  request.remaining_us = 1'000'000;
+  Send(request);
+  CHECK(TakeSent().size() == (r.at_once ? 1U : 0U));
+  if (r.at_once) return;
+  Tick();
+  CHECK(TakeSent().empty());
+  if (r.withheld) RecordWithheld(facts, kBad, std::chrono::minutes(10), now);
+  Tick(std::chrono::milliseconds(100));
+  CHECK(TakeSent().size() == (r.withheld ? 0U : 1U));
+  CHECK(TakeResults().size() == (r.withheld ? 1U : 0U));
+}
+
 // Guards against a server that stays blocked when the call that should run alone ends before it starts.
 TEST_CASE_METHOD(gather_fixture, "a call that waits to run alone blocks its server no longer than it exists") {
   RecordSuspected(facts, kBad, {1, true}, std::chrono::minutes(10), now);
