--- a/core/base/strong_id.h
+++ b/core/base/strong_id.h
@@ -18,7 +18,8 @@
   explicit strong_id(Rep v) : value(std::move(v)) {}
 
   friend bool operator==(const strong_id&, const strong_id&) = default;
-  friend auto operator<=>(const strong_id&, const strong_id&) = default;
+  // clang-tidy takes the 0 that rewritten comparisons compare with for a null pointer.
+  friend auto operator<=>(const strong_id&, const strong_id&) = default;  // NOLINT(modernize-use-nullptr)
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/core/config/json_reader.cc
+++ b/core/config/json_reader.cc
@@ -143,13 +143,13 @@
 }
 
 const nlohmann::json::array_t& object_reader::Array(std::string_view name) {
-  static const nlohmann::json::array_t kEmpty;
+  static const nlohmann::json::array_t empty;
   const nlohmann::json* const field = Find(name, true);
-  if (field == nullptr) return kEmpty;
+  if (field == nullptr) return empty;
   const auto* const array = field->get_ptr<const nlohmann::json::array_t*>();
   if (array != nullptr) return *array;
   Fail(name, fmt::format("{} is not an array", Show(*field)));
-  return kEmpty;
+  return empty;
 }
 
 const nlohmann::json* object_reader::Object(std::string_view name, bool optional) { return Find(name, !optional); }
--- a/core/config/store.cc
+++ b/core/config/store.cc
@@ -103,9 +103,9 @@
   base::revision_id reached = have;
   for (const revision_patch& step : store.patches) {
     if (step.from != reached) continue;
-    for (nlohmann::json& operation : nlohmann::json::parse(step.patch).get_ref<nlohmann::json::array_t&>()) {
+    nlohmann::json operations = nlohmann::json::parse(step.patch);
+    for (nlohmann::json& operation : operations)
       merged.push_back(std::move(operation));
-    }
     reached = step.revision;
   }
   return reached == store.in_force->revision ? merged.dump() : std::string();
