--- /dev/null
+++ b/tests/shell/http_server_test.cc
@@ -0,0 +1,211 @@
+#include "shell/http_server.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <map>
+#include <mutex>
+#include <vector>
+
+#include <fmt/format.h>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "core/base/random.h"
+#include "scripted_server.h"
+
+namespace limpetrouter::shell {
+namespace {
+
+using core::base::reply_handle;
+using std::chrono::milliseconds;
+
+/// A server whose requests wait until the test answers them.
+struct held_server {
+  std::mutex mutex;
+  std::vector<std::pair<reply_handle, http_request>> requests;
+  std::vector<reply_handle> abandoned;
+  settings config;
+  std::unique_ptr<http_server> server;
+
+  explicit held_server(std::size_t max_bytes = 4096) {
+    config.listen_http = FreeAddress();
+    config.threads = 2;
+    config.max_request_bytes = max_bytes;
+    server = std::make_unique<http_server>(config, http_observer{[this](reply_handle handle, http_request request) {
+                                                                   const std::lock_guard lock(mutex);
+                                                                   requests.emplace_back(handle, std::move(request));
+                                                                 },
+                                                                 [this](reply_handle handle) {
+                                                                   const std::lock_guard lock(mutex);
+                                                                   abandoned.push_back(handle);
+                                                                 }});
+    REQUIRE(server->Start().has_value());
+  }
+
+  std::size_t Count() {
+    const std::lock_guard lock(mutex);
+    return requests.size();
+  }
+  void AwaitRequests(std::size_t count) {
+    REQUIRE(Eventually([&] { return Count() >= count; }));
+  }
+  /// Answers request `index` with its own path.
+  void Answer(std::size_t index) {
+    std::unique_lock lock(mutex);
+    const auto [handle, request] = requests.at(index);
+    lock.unlock();
+    server->Answer(handle, {200, "\"" + request.path + "\"", true});
+  }
+};
+
+std::string Get(const std::string& path) { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n"; }
+
+void SendText(int fd, const std::string& text) { ::send(fd, text.data(), text.size(), MSG_NOSIGNAL); }
+
+/// Reads until `text` was seen.
+std::string ReadUntil(int fd, const std::string& text) {
+  std::string read;
+  while (read.find(text) == std::string::npos) {
+    const std::string more = ReadSome(fd, 1, milliseconds(2000));
+    if (more.empty()) break;
+    read += more;
+  }
+  return read;
+}
+
+// Guards against an answer that goes to another request of its connection: pipelined requests are answered in their
+// order, even when the later answer is ready first.
+TEST_CASE("answers leave in the order of the requests") {
+  held_server held;
+  const int fd = ConnectTo(held.config.listen_http);
+  REQUIRE(fd >= 0);
+  SendText(fd, Get("/a") + Get("/b") + Get("/c?x=1%202"));
+  held.AwaitRequests(3);
+  CHECK(held.requests[2].second.parameters.at("x") == "1%202");
+  held.Answer(2);
+  held.Answer(1);
+  CHECK(ReadSome(fd, 1, milliseconds(100)).empty());
+  held.Answer(0);
+  const std::string read = ReadUntil(fd, "\"/c\"");
+  CHECK(read.find("\"/a\"") < read.find("\"/b\""));
+  CHECK(read.find("\"/b\"") < read.find("\"/c\""));
+  CHECK(Eventually([&] { return held.server->Unfinished() == 0; }));
+  ::close(fd);
+}
+
+// Guards against input that is answered in plain text, with a wrong kind, or not at all.
+TEST_CASE("input that is no request is refused in JSON and the connection closed") {
+  struct row {
+    std::string input;
+    int status;
+    std::string error;
+  };
+  const auto r = GENERATE(values<row>({
+      {"nonsense\r\n\r\n", 400, "invalid_request"},
+      {"GET / HTTP/9.9\r\n\r\n", 400, "invalid_request"},
+      {"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", 413, "request_too_large"},
+      {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, "invalid_request"},
+  }));
+  INFO(r.input);
+  held_server held;
+  const int fd = ConnectTo(held.config.listen_http);
+  SendText(fd, r.input);
+  const std::string answer = ReadSome(fd, 100'000, milliseconds(2000));
+  CHECK(answer.find(fmt::format("HTTP/1.1 {}", r.status)) == 0);
+  const auto body = nlohmann::json::parse(answer.substr(answer.find("\r\n\r\n") + 4), nullptr, false);
+  CHECK(body.value("error", "") == r.error);
+  CHECK(body.value("executed", "") == "no");
+  CHECK(held.Count() == 0);
+  ::close(fd);
+}
+
+// Guards against work that goes on for a caller that is gone, and against a count of open answers that never ends.
+TEST_CASE("a closed connection abandons its requests") {
+  held_server held;
+  const int fd = ConnectTo(held.config.listen_http);
+  SendText(fd, Get("/a") + Get("/b"));
+  held.AwaitRequests(2);
+  ::close(fd);
+  REQUIRE(Eventually([&] {
+    const std::lock_guard lock(held.mutex);
+    return held.abandoned.size() == 2;
+  }));
+  CHECK(held.server->Unfinished() == 0);
+  held.Answer(0);
+  CHECK(held.server->Unfinished() == 0);
+}
+
+// Guards against an answer that reaches the connection which got the file descriptor of a closed one.
+TEST_CASE("a late answer never reaches another connection") {
+  held_server held;
+  std::thread answering([&held] {
+    for (std::size_t next = 0; next < 600;) {
+      if (held.Count() <= next) {
+        std::this_thread::sleep_for(std::chrono::microseconds(20));
+        continue;
+      }
+      held.Answer(next++);
+    }
+  });
+  std::size_t wrong = 0;
+  for (int i = 0; i < 300; ++i) {
+    const int gone = ConnectTo(held.config.listen_http);
+    SendText(gone, Get(fmt::format("/gone{}", i)));
+    held.AwaitRequests(static_cast<std::size_t>(2 * i + 1));
+    ::close(gone);
+    const int fd = ConnectTo(held.config.listen_http);
+    SendText(fd, Get(fmt::format("/kept{}", i)));
+    const std::string expected = fmt::format("\"/kept{}\"", i);
+    const std::string read = ReadUntil(fd, "\"/");
+    if (read.find("gone") != std::string::npos || read.find("HTTP/1.1 200") != 0) ++wrong;
+    ::close(fd);
+  }
+  answering.join();
+  CHECK(wrong == 0);
+}
+
+// Guards against a server that stops while answers are on their way, and one that accepts work after its end.
+TEST_CASE("a large answer is written whole and later requests are refused") {
+  held_server held;
+  const int fd = ConnectTo(held.config.listen_http);
+  SendText(fd, Get("/large"));
+  held.AwaitRequests(1);
+  held.server->RefuseWith({503, "\"refused\"", true});
+  CHECK(held.server->Unfinished() == 1);
+  held.server->Answer(held.requests[0].first, {200, std::string(8'000'000, 'x'), true});
+  const std::string read = ReadSome(fd, 8'000'000, milliseconds(5000));
+  CHECK(read.size() >= 8'000'000);
+  CHECK(Eventually([&] { return held.server->Unfinished() == 0; }));
+  SendText(fd, Get("/late"));
+  CHECK(ReadUntil(fd, "\"refused\"").find("503") != std::string::npos);
+  CHECK(held.Count() == 1);
+  ::close(fd);
+}
+
+// Guards against a crash or a hang on damaged requests.
+TEST_CASE("random bytes do not harm the server") {
+  held_server held;
+  core::base::random_source random{13};
+  const std::string whole = "POST /v1/query HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody";
+  for (int i = 0; i < 300; ++i) {
+    const int fd = ConnectTo(held.config.listen_http);
+    std::string text = whole;
+    for (std::uint64_t n = 1 + core::base::NextBelow(random, 6); n > 0; --n) {
+      text[core::base::NextBelow(random, text.size())] = static_cast<char>(core::base::NextRandom(random));
+    }
+    SendText(fd, text.substr(0, core::base::NextBelow(random, text.size() + 1)));
+    ::close(fd);
+  }
+  const std::size_t before = held.Count();
+  const int fd = ConnectTo(held.config.listen_http);
+  SendText(fd, Get("/after"));
+  REQUIRE(Eventually([&] {
+    const std::lock_guard lock(held.mutex);
+    return held.requests.size() > before && held.requests.back().second.path == "/after";
+  }));
+  ::close(fd);
+}
+
+}  // namespace
+}  // namespace limpetrouter::shell
--- /dev/null
+++ b/tests/shell/peer_links_test.cc
@@ -0,0 +1,199 @@
+#include "shell/peer_links.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <mutex>
+
+#include <catch2/catch.hpp>
+
+#include "core/base/random.h"
+#include "core/peer/codec.h"
+#include "scripted_server.h"
+#include "shell/framing.h"
+#include "shell/peer_stream.h"
+
+namespace limpetrouter::shell {
+namespace {
+
+using core::io::peer_message_received;
+using core::io::peer_send_failed;
+using core::io::transport;
+using std::chrono::milliseconds;
+
+/// Links of one instance and what they told.
+struct linked_peer {
+  std::mutex mutex;
+  std::vector<peer_message_received> received;
+  std::vector<peer_send_failed> failed;
+  std::atomic<int> malformed{0};
+  logger log{log_level::kWarning, "k1", ::open("/dev/null", O_WRONLY)};
+  settings config;
+  std::unique_ptr<peer_links> links;
+
+  explicit linked_peer(std::uint32_t max_connections = 100) {
+    config.listen_peer = FreeAddress();
+    config.max_peer_connections = max_connections;
+    config.max_peer_queue_bytes = 4 * 1024 * 1024;
+    const peer_observer observer{[this](core::io::event event) { Take(std::move(event)); },
+                                 [](message_plane, std::size_t) {}, [](message_plane, std::size_t) {},
+                                 [this] { ++malformed; }};
+    links = std::make_unique<peer_links>(config, observer, log);
+    REQUIRE(links->Start().has_value());
+  }
+
+  void Take(core::io::event event) {
+    const std::lock_guard lock(mutex);
+    if (auto* const message = std::get_if<peer_message_received>(&event)) received.push_back(std::move(*message));
+    if (auto* const failure = std::get_if<peer_send_failed>(&event)) failed.push_back(std::move(*failure));
+  }
+  std::size_t Received() {
+    const std::lock_guard lock(mutex);
+    return received.size();
+  }
+  std::size_t Failed() {
+    const std::lock_guard lock(mutex);
+    return failed.size();
+  }
+};
+
+core::peer::message MakeRequest(std::uint64_t query, std::size_t body_bytes = 10) {
+  core::peer::gather_request request;
+  request.query = core::base::query_sequence(query);
+  request.body = std::string(body_bytes, 'b');
+  core::peer::message message;
+  message.header.sender.id = core::base::instance_id("k1");
+  message.body = request;
+  return message;
+}
+
+core::io::send_peer SendTo(const std::string& address, std::uint64_t query, transport via = transport::kStream,
+                           std::size_t body_bytes = 10) {
+  return {core::base::instance_id("k2"), address, via, MakeRequest(query, body_bytes)};
+}
+
+std::uint64_t QueryOf(const core::peer::message& message) {
+  return std::get<core::peer::gather_request>(message.body).query.value;
+}
+
+// Guards against lost, reordered or damaged messages, from small ones up to the limit.
+TEST_CASE("messages reach a peer in their order") {
+  linked_peer a;
+  linked_peer b;
+  for (std::uint64_t i = 0; i < 500; ++i)
+    a.links->Send(SendTo(b.config.listen_peer, i, transport::kStream, i == 250 ? 3'000'000 : i * 7));
+  REQUIRE(Eventually([&] { return b.Received() == 500; }));
+  for (std::uint64_t i = 0; i < 500; ++i)
+    REQUIRE(QueryOf(b.received[i].message) == i);
+  CHECK(b.received[0].from.empty());
+  CHECK(a.links->IsFlushed());
+  a.links->Send(SendTo(b.config.listen_peer, 7, transport::kDatagram));
+  a.links->Send(SendTo(b.config.listen_peer, 8, transport::kDatagram, 2000));
+  REQUIRE(Eventually([&] { return b.Received() == 501; }));
+  CHECK(b.received[500].from == a.config.listen_peer);
+}
+
+// Guards against a silent loss, and against "perhaps sent" for a message that never left, which could not be retried.
+TEST_CASE("a message to a closed port fails as not sent") {
+  linked_peer a;
+  const std::string nobody = FreeAddress();
+  a.links->Send(SendTo(nobody, 1));
+  a.links->Send(SendTo(nobody, 2));
+  REQUIRE(Eventually([&] { return a.Failed() == 2; }));
+  CHECK_FALSE(a.failed[0].bytes_sent);
+  CHECK(QueryOf(a.failed[1].message) == 2);
+  CHECK(a.failed[0].target.value == "k2");
+}
+
+// Guards against requests to a peer that dies right after it took them: their sender would wait for its whole deadline.
+TEST_CASE("requests written shortly before a connection breaks are reported as perhaps sent") {
+  scripted_server dying([](const std::string&) { return scripted_reply{}; });
+  linked_peer a;
+  auto b = std::make_unique<linked_peer>();
+  a.links->Send(SendTo(b->config.listen_peer, 1));
+  REQUIRE(Eventually([&] { return b->Received() == 1; }));
+  b->links->Stop();
+  b.reset();
+  REQUIRE(Eventually([&] { return a.Failed() == 1; }));
+  CHECK(a.failed[0].bytes_sent);
+}
+
+// Guards against a queue without a bound for a peer that is frozen and takes no bytes.
+TEST_CASE("messages beyond the queue of a frozen peer fail as not sent") {
+  const int frozen = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  REQUIRE(::bind(frozen, reinterpret_cast<sockaddr*>(&address), size) == 0);
+  REQUIRE(::listen(frozen, 1) == 0);
+  ::getsockname(frozen, reinterpret_cast<sockaddr*>(&address), &size);
+  const std::string target = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  linked_peer a;
+  for (std::uint64_t i = 0; i < 40; ++i)
+    a.links->Send(SendTo(target, i, transport::kStream, 1'000'000));
+  REQUIRE(Eventually([&] { return a.Failed() >= 20; }));
+  CHECK_FALSE(a.failed[0].bytes_sent);
+  CHECK_FALSE(a.links->IsFlushed());
+  ::close(frozen);
+}
+
+// Guards against a peer, or anything else that connects, that harms the instance with bytes that are not messages.
+TEST_CASE("damaged streams are counted and dropped") {
+  linked_peer b(200);
+  core::base::random_source random{17};
+  const std::string frame = MakeFrame(core::peer::EncodeMessage(MakeRequest(1)));
+  for (int i = 0; i < 100; ++i) {
+    std::string text = frame;
+    text[core::base::NextBelow(random, text.size())] = static_cast<char>(core::base::NextRandom(random));
+    const int fd = ConnectTo(b.config.listen_peer);
+    ::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+    ::close(fd);
+  }
+  const int fd = ConnectTo(b.config.listen_peer);
+  const std::string huge("\xff\xff\xff\x7f", 4);
+  ::send(fd, huge.data(), huge.size(), MSG_NOSIGNAL);
+  CHECK(ReadSome(fd, 1, milliseconds(1000)).empty());
+  CHECK(Eventually([&] { return b.malformed > 0; }));
+  ::close(fd);
+  linked_peer a;
+  a.links->Send(SendTo(b.config.listen_peer, 909));
+  CHECK(Eventually([&] {
+    const std::lock_guard lock(b.mutex);
+    return !b.received.empty() && QueryOf(b.received.back().message) == 909;
+  }));
+}
+
+// Guards against datagrams that are too short, too long or no messages.
+TEST_CASE("damaged datagrams are counted and dropped") {
+  linked_peer b;
+
+  const int datagram = ::socket(AF_INET, SOCK_DGRAM, 0);
+  const socket_address to = ParseSocketAddress(b.config.listen_peer);
+  for (const std::size_t bytes : {std::size_t{0}, std::size_t{10}, std::size_t{1201}, std::size_t{60'000}}) {
+    const std::string text(bytes, 'x');
+    ::sendto(datagram, text.data(), bytes, 0, reinterpret_cast<const sockaddr*>(to.bytes.data()),
+             static_cast<socklen_t>(to.bytes.size()));
+  }
+  CHECK(Eventually([&] { return b.malformed == 4; }));
+  ::close(datagram);
+}
+
+// Guards against connections that exhaust the file descriptors of an instance.
+TEST_CASE("connections beyond the limit are closed") {
+  linked_peer b(2);
+  std::vector<int> open;
+  for (int i = 0; i < 3; ++i)
+    open.push_back(ConnectTo(b.config.listen_peer));
+  const auto start = std::chrono::steady_clock::now();
+  CHECK(ReadSome(open[2], 1, milliseconds(2000)).empty());
+  CHECK(std::chrono::steady_clock::now() - start < milliseconds(1500));
+  for (const int fd : open)
+    ::close(fd);
+}
+
+}  // namespace
+}  // namespace limpetrouter::shell
