Spread backend calls over threads and grade log lines by their query

A decision that names a query is dropped by the level info, whatever its name; the list of names had gaps and would have grown with the core. Backend servers are divided over a settable number of threads.

--- a/shell/backend_client.cc
+++ b/shell/backend_client.cc
@@ -1,10 +1,12 @@
 #include "shell/backend_client.h"
 
 #include <algorithm>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "shell/backend_codec.h"
 #include "shell/transfer_pool.h"
@@ -71,7 +73,12 @@
   std::function<void(core::io::event)> post;
   std::mutex mutex;
   std::unordered_map<call_key, transfer_id, call_key_hash> calls;
-  transfer_pool pool;
+  std::vector<std::unique_ptr<transfer_pool>> pools;
+
+  /// One thread per address, so that all calls to a backend server share its kept connections.
+  transfer_pool& PoolOf(const std::string& address) const {
+    return *pools[std::hash<std::string>{}(address) % pools.size()];
+  }
 
   void EndCall(const core::io::call_backend& call, const transfer_result& ended) {
     {
@@ -100,13 +107,17 @@
   }
 };
 
-backend_client::backend_client(std::function<void(core::io::event)> post) : impl_(std::make_unique<impl>()) {
+backend_client::backend_client(std::function<void(core::io::event)> post, std::uint32_t threads)
+    : impl_(std::make_unique<impl>()) {
   impl_->post = std::move(post);
+  for (std::uint32_t i = 0; i < std::max<std::uint32_t>(1, threads); ++i)
+    impl_->pools.push_back(std::make_unique<transfer_pool>());
 }
 
 backend_client::~backend_client() { Stop(); }
 
 void backend_client::Call(const core::io::call_backend& call) {
+  transfer_pool& pool = impl_->PoolOf(call.address);
   transfer_request request;
   request.url = "http://" + call.address + "/v1/run";
   request.post = true;
@@ -115,48 +126,53 @@
   request.max_answer_bytes = kMaxBackendAnswerBytes;
   request.write_once = !call.repeatable;
   request.done = [this, call](const transfer_result& ended) { impl_->EndCall(call, ended); };
-  request.id = impl_->pool.NewId();
+  request.id = pool.NewId();
   {
     // Entered before the start, so that a call which ends at once does not leave an entry behind.
     const std::lock_guard lock(impl_->mutex);
     impl_->calls[{call.entry, call.attempt}] = request.id;
   }
-  impl_->pool.Start(std::move(request));
+  pool.Start(std::move(request));
 }
 
 void backend_client::Cancel(const core::io::cancel_backend_call& cancel) {
+  transfer_pool& pool = impl_->PoolOf(cancel.address);
   {
     const std::lock_guard lock(impl_->mutex);
     const auto found = impl_->calls.find({cancel.entry, cancel.attempt});
     if (found == impl_->calls.end()) return;
-    impl_->pool.Cancel(found->second);
+    pool.Cancel(found->second);
   }
   transfer_request request;
-  request.id = impl_->pool.NewId();
+  request.id = pool.NewId();
   request.url = "http://" + cancel.address + "/v1/cancel";
   request.post = true;
   request.body = EncodeCancel(cancel);
   request.deadline = steady_clock::now() + kCancelTimeout;
   request.max_answer_bytes = kMaxLoadBytes;
   request.done = [](const transfer_result&) {};
-  impl_->pool.Start(std::move(request));
+  pool.Start(std::move(request));
 }
 
 void backend_client::Probe(const core::io::probe_backend& probe) {
+  transfer_pool& pool = impl_->PoolOf(probe.address);
   auto state = std::make_shared<running_probe>();
   state->backend_server = probe.backend_server;
   state->left = std::max<std::uint32_t>(1, probe.connections);
   for (std::uint32_t n = state->left; n > 0; --n) {
     transfer_request request;
-    request.id = impl_->pool.NewId();
+    request.id = pool.NewId();
     request.url = "http://" + probe.address + "/v1/load";
     request.deadline = steady_clock::now() + kProbeTimeout;
     request.max_answer_bytes = kMaxLoadBytes;
     request.done = [this, state](const transfer_result& ended) { impl_->EndProbe(*state, ended); };
-    impl_->pool.Start(std::move(request));
+    pool.Start(std::move(request));
   }
 }
 
-void backend_client::Stop() { impl_->pool.Stop(); }
+void backend_client::Stop() {
+  for (const std::unique_ptr<transfer_pool>& pool : impl_->pools)
+    pool->Stop();
+}
 
 }  // namespace limpetrouter::shell
--- a/shell/backend_client.h
+++ b/shell/backend_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -11,8 +12,8 @@
 /// Calls backend servers over HTTP. Each call ends with exactly one event. Thread-safe.
 class backend_client {
  public:
-  /// `post` takes events on the client's threads.
-  explicit backend_client(std::function<void(core::io::event)> post);
+  /// `post` takes events on the client's threads. Each backend server is served by one of `threads` threads.
+  explicit backend_client(std::function<void(core::io::event)> post, std::uint32_t threads = 1);
   ~backend_client();
   backend_client(const backend_client&) = delete;
   backend_client& operator=(const backend_client&) = delete;
--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -93,7 +93,7 @@
         core(self, seed,
              {[this](core::io::command&& command) { Execute(std::move(command)); },
               [this](core::base::duration lag) { metrics.TickLagged(lag); }}),
-        backend([this](core::io::event event) { PostBackendEvent(std::move(event)); }),
+        backend([this](core::io::event event) { PostBackendEvent(std::move(event)); }, s.backend_threads),
         platform(
             s, [this](core::io::event event) { core.Post(std::move(event)); },
             [this](std::size_t bytes) { metrics.PlatformBytesReceived(bytes); }),
--- a/shell/endpoints.cc
+++ b/shell/endpoints.cc
@@ -55,7 +55,10 @@
 
 void HandleQueryRequest(const endpoint_ports& ports, reply_handle handle, const http_request& request) {
   core::base::result<core::peer::query_request> query = DecodeQueryRequest(request.body);
-  if (!query.has_value()) return Refuse(ports, handle, query.error());
+  if (!query.has_value()) {
+    ports.metrics->QueryRefused(query.error().kind);
+    return Refuse(ports, handle, query.error());
+  }
   ports.post_event(core::io::query_received{handle, std::move(*query)});
 }
 
--- a/shell/log.cc
+++ b/shell/log.cc
@@ -18,14 +18,16 @@
 
 constexpr std::size_t kMaxQueuedBytes = 64 * 1024 * 1024;
 
-/// Decisions about single queries and calls, which are most of all lines.
-constexpr std::array<std::string_view, 12> kQueryDecisions = {"route",   "hedge",   "retry",  "refuse",
-                                                              "answer",  "canary",  "cancel", "forward",
-                                                              "restart", "partial", "permit", "defer"};
+/// Decisions of gatherers about single calls; those of entries are known by their query.
+constexpr std::array<std::string_view, 1> kCallDecisions = {"refuse"};
 
 /// Decisions that an operator wants to see even when only faults are logged.
-constexpr std::array<std::string_view, 8> kFaultDecisions = {
-    "pause", "eject", "withhold", "conflict", "crash", "dead", "invalid_configuration", "platform_unavailable"};
+constexpr std::array<std::string_view, 3> kFaultDecisions = {"pause", "eject", "withhold"};
+
+bool HasField(const core::io::log_decision& decision, std::string_view name) {
+  return std::any_of(decision.fields.begin(), decision.fields.end(),
+                     [name](const auto& field) { return field.first == name; });
+}
 
 template <std::size_t N>
 bool Contains(const std::array<std::string_view, N>& names, std::string_view name) {
@@ -95,10 +97,11 @@
   return line;
 }
 
-log_level LevelOfDecision(std::string_view decision) {
-  if (Contains(kQueryDecisions, decision)) return log_level::kDecisions;
-  if (Contains(kFaultDecisions, decision)) return log_level::kWarning;
-  return log_level::kInfo;
+log_level LevelOfDecision(const core::io::log_decision& decision) {
+  if (HasField(decision, "query") || Contains(kCallDecisions, decision.decision)) return log_level::kDecisions;
+  // A configuration that was not accepted is the one decision whose name alone does not tell that it is a fault.
+  const bool refused = decision.decision == "configuration" && HasField(decision, "refused");
+  return refused || Contains(kFaultDecisions, decision.decision) ? log_level::kWarning : log_level::kInfo;
 }
 
 struct logger::impl {
@@ -164,7 +167,7 @@
 }
 
 void logger::Decision(const core::io::log_decision& decision) {
-  impl_->Add(LevelOfDecision(decision.decision), decision.decision, decision.fields);
+  impl_->Add(LevelOfDecision(decision), decision.decision, decision.fields);
 }
 
 void logger::Info(std::string_view event, const log_fields& fields) { impl_->Add(log_level::kInfo, event, fields); }
--- a/shell/log.h
+++ b/shell/log.h
@@ -22,7 +22,7 @@
                           std::string_view decision, const log_fields& fields);
 
 /// The least detailed log level at which a decision of the core is still written.
-log_level LevelOfDecision(std::string_view decision);
+log_level LevelOfDecision(const core::io::log_decision& decision);
 
 /// Writes lines to a file descriptor on its own thread, so that a slow reader of the log does not delay decisions.
 /// Thread-safe. If more than 64 MB wait, lines are dropped and their number is logged.
--- a/shell/metrics.cc
+++ b/shell/metrics.cc
@@ -165,6 +165,11 @@
                           static_cast<double>(answer.coverage.documents_total));
 }
 
+void metrics::QueryRefused(core::base::error_kind kind) {
+  Labelled(impl_->queries, "outcome", Outcome(false, kind)).Increment();
+  Labelled(impl_->refusals, "executed", std::string(core::base::ToString(core::base::executed_state::kNo))).Increment();
+}
+
 void metrics::BackendCallEnded(const core::peer::attempt_result& result) {
   Labelled(impl_->backend_calls, "outcome", Outcome(result.succeeded, result.failure)).Increment();
   impl_->backend_latency.Observe(ToSeconds(core::base::duration(result.called_us)));
--- a/shell/metrics.h
+++ b/shell/metrics.h
@@ -21,6 +21,8 @@
   metrics& operator=(const metrics&) = delete;
 
   void QueryEnded(const core::peer::query_answer& answer, core::base::duration elapsed);
+  /// A query that was refused before it became an event, so it certainly did not run.
+  void QueryRefused(core::base::error_kind kind);
   void BackendCallEnded(const core::peer::attempt_result& result);
   /// Hedges, retries and refusals are among the decisions of the core.
   void Decided(const std::string& decision);
--- a/shell/settings.cc
+++ b/shell/settings.cc
@@ -31,7 +31,9 @@
       {"advertise", {"http", "peer"}},
       {"platform", {"configuration_url", "instance_list_url", "timeout_ms"}},
       {"log", {"level"}},
-      {"limits", {"max_request_bytes", "max_peer_queue_bytes", "max_peer_connections", "max_pending_requests"}},
+      {"limits",
+       {"max_request_bytes", "max_peer_queue_bytes", "max_peer_connections", "max_pending_requests",
+        "backend_threads"}},
   };
   return keys;
 }
@@ -229,6 +231,7 @@
   ReadNumber<std::size_t>(check, "limits", "max_peer_queue_bytes", 4 * 1024 * 1024, std::size_t{1} << 30U,
                           out.max_peer_queue_bytes);
   ReadNumber<std::uint32_t>(check, "limits", "max_peer_connections", 1, 100'000, out.max_peer_connections);
+  ReadNumber<std::uint32_t>(check, "limits", "backend_threads", 1, 64, out.backend_threads);
   ReadNumber<std::uint32_t>(check, "limits", "max_pending_requests", 1, 1'000'000, out.max_pending_requests);
 }
 
--- a/shell/settings.h
+++ b/shell/settings.h
@@ -57,6 +57,8 @@
   std::size_t max_peer_queue_bytes = 16 * 1024 * 1024;
   /// Connections accepted from other instances.
   std::uint32_t max_peer_connections = 2'000;
+  /// Threads that call backend servers; each serves a part of them.
+  std::uint32_t backend_threads = 2;
   /// HTTP requests that wait for their answer.
   std::uint32_t max_pending_requests = 50'000;
 };
--- a/tests/shell/log_test.cc
+++ b/tests/shell/log_test.cc
@@ -38,15 +38,18 @@
     log_level level;
     std::string decisions;
   };
-  const auto r = GENERATE(values<row>({{log_level::kDecisions, "route route place eject fault "},
-                                       {log_level::kInfo, "place eject fault "},
-                                       {log_level::kWarning, "eject fault "}}));
+  const auto r = GENERATE(values<row>({{log_level::kDecisions, "route route place eject configuration fault "},
+                                       {log_level::kInfo, "place eject configuration fault "},
+                                       {log_level::kWarning, "eject configuration fault "}}));
   int ends[2];
   REQUIRE(::pipe(ends) == 0);
   {
     logger log(r.level, "k1", ends[1]);
-    for (const char* decision : {"route", "route", "place", "eject"})
+    for (const char* decision : {"route", "route"})
+      log.Decision({decision, {{"query", "7"}}});
+    for (const char* decision : {"place", "eject"})
       log.Decision({decision, {}});
+    log.Decision({"configuration", {{"refused", "invalid_configuration"}}});
     log.Warning("fault", {});
   }
   ::close(ends[1]);
