--- a/tests/shell/log_test.cc
+++ b/tests/shell/log_test.cc
@@ -59,7 +59,7 @@
   std::string written(buffer, size > 0 ? static_cast<std::size_t>(size) : 0);
   std::string decisions;
   for (std::size_t at = written.find("decision="); at != std::string::npos; at = written.find("decision=", at + 1)) {
-    decisions += written.substr(at + 9, written.find('\n', at) - at - 9) + " ";
+    decisions += written.substr(at + 9, written.find_first_of(" \n", at) - at - 9) + " ";
   }
   CHECK(decisions == r.decisions);
 }
