--- a/core/entry/attempts.cc
+++ b/core/entry/attempts.cc
@@ -14,13 +14,14 @@
 namespace limpetrouter::core::entry {
 namespace {
 
-using base::error_kind;
 using base::executed_state;
 
 /// Samples that make the quantiles of one service better than those of its whole collection.
 constexpr std::uint32_t kServiceSamples = 200;
 /// Without so many samples there is no threshold.
 constexpr std::uint32_t kCollectionSamples = 30;
+/// The threshold aims below the budget, which leaves room for second hedges and for bursts.
+constexpr double kPlannedShare = 0.85;
 constexpr base::duration kNoHolderDelay = std::chrono::milliseconds(50);
 
 const char* NameOf(attempt_kind kind) {
@@ -238,7 +239,7 @@
   routing::service_statistics& service = tables.statistics.services[ServiceOf(tables, query, shard)];
   const bool enough = routing::LatencySamples(service.latency) >= kServiceSamples;
   routing::latency_window& window = enough ? service.latency : tables.collections[query.request.collection].latency;
-  routing::RefreshSummary(window, query.config->limit.hedge_budget, now);
+  routing::RefreshSummary(window, kPlannedShare * query.config->limit.hedge_budget, now);
   return window;
 }
 
@@ -258,6 +259,7 @@
 }
 
 void JudgeServer(entry_tables& tables, instance::context& ctx, std::uint32_t statistics) {
+  if (ctx.config != nullptr && !ctx.config->limit.ejection) return;
   const routing::ejection_reason reason = routing::ConsiderEjection(tables.statistics, statistics, ctx.now);
   if (reason == routing::ejection_reason::kNone) return;
   const routing::server_statistics& server = tables.statistics.servers[statistics];
--- a/core/entry/results.cc
+++ b/core/entry/results.cc
@@ -43,7 +43,7 @@
 
 void RecordSuccess(entry_tables& tables, const instance::context& ctx, const query& query, const attempt& made,
                    const peer::attempt_result& result) {
-  routing::RecordCallTimes(tables.statistics, made.statistics, base::duration(result.queued_us),
+  routing::RecordCallTimes(tables.statistics, made.statistics, query.rule->urgent, base::duration(result.queued_us),
                            base::duration(result.called_us), ctx.now);
   if (result.draining) {
     tables.statistics.servers[made.statistics].drain_hint_until = ctx.now + std::chrono::seconds(5);
@@ -113,7 +113,7 @@
   const error_kind failure = result.succeeded ? error_kind::kAnswerMismatched : result.failure;
   const executed_state executed = result.succeeded ? executed_state::kYes : result.executed;
   const attempt ended = EndAttempt(tables, ctx, query, result.attempt.value, OutcomeOf(failure), executed);
-  if (failure == error_kind::kBackendShed) {
+  if (failure == error_kind::kBackendShed || failure == error_kind::kOverloaded) {
     routing::AddShed(tables.statistics.services[ServiceOf(tables, query, ended.shard)].queue, ctx.now);
   }
   JudgeServer(tables, ctx, ended.statistics);
