Keep no slot free for urgent calls and refuse a call only if it cannot end in time

Cause: the gatherer kept one slot of three or five for urgent calls and refused a call whose wait passed a quarter of its time. The first capped normal goodput at 80% and 67%, the second cost whole queries one shard. Conclusion: priority in the queue is enough for urgent calls.

Callers move on after process_paused and no_configuration.

--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -47,8 +47,8 @@
   scenario::measures urgent;
   /// Backend calls above the needed ones, as a share of the needed ones, in the measured time.
   double extra_load = 0;
-  /// Largest ratio of backend calls in one second to the mean before the fault second.
-  double peak_second_ratio = 0;
+  /// Extra load of the worst second, as a share of the calls needed in it.
+  double worst_second_extra = 0;
   double goodput_per_second = 0;
   double capacity_per_second = 0;
   std::uint64_t crashes = 0;
--- a/core/entry/hedge.cc
+++ b/core/entry/hedge.cc
@@ -50,7 +50,7 @@
   }
   const routing::latency_window& window = LatencyOf(round.tables, round.query, shard, round.ctx.now);
   hedge_times times;
-  times.hedge = round.large ? window.healthy_p90 : threshold;
+  times.hedge = threshold;
   times.overdue = std::max(kOverdueFactor * std::max(window.healthy_p99, threshold), kShortestOverdue);
   return times;
 }
@@ -119,7 +119,9 @@
   round.next_check = std::min(round.next_check, round.ctx.now + kDeniedDelay);
   if (IsServiceSaturated(round.tables, round.query, shard, round.ctx.now)) return;
   if (hedge_due && AddCall(round, shard, attempt_kind::kHedge, "late")) return;
-  if (now >= overdue_at) AddCall(round, shard, attempt_kind::kRetry, "overdue");
+  // When many servers are silent the hedge budget must not keep queries from their answers: the retry budget pays for
+  // the second call of a shard. A third one has a running alternative already and stays within the hedge budget.
+  if (now >= overdue_at && task.hedges == 0) AddCall(round, shard, attempt_kind::kRetry, "overdue");
 }
 
 }  // namespace
@@ -132,12 +134,16 @@
   if (round.large && query.canary != canary_state::kRunning) {
     const double settled = query.answered + query.failed;
     round.tail_only = settled < kAnsweredShare * static_cast<double>(query.shards.size());
+    // Until then only lost calls matter; the shards are not scanned on every tick for them.
+    if (round.tail_only && ctx.now + kTickLead < query.overdue_check_at) return;
   }
   for (std::uint32_t shard = 0; shard < query.shards.size(); ++shard)
     CheckShard(round, shard);
   query.hedges += static_cast<std::uint32_t>(round.calls.size());
   if (!round.calls.empty()) SendCalls(tables, ctx, query, round.calls);
-  query.hedge_check_at = round.next_check;
+  // The share of settled shards can pass its bound at any time.
+  if (round.tail_only) query.overdue_check_at = round.next_check;
+  query.hedge_check_at = round.tail_only ? ctx.now : round.next_check;
 }
 
 }  // namespace limpetrouter::core::entry
--- a/core/entry/query_table.h
+++ b/core/entry/query_table.h
@@ -127,6 +127,8 @@
   std::uint32_t hedges = 0;
   /// No shard can need a hedge before.
   base::time_point hedge_check_at{};
+  /// For a large fan-out: next look for lost calls.
+  base::time_point overdue_check_at{};
   /// Share of the collection's shards that the query touches: its weight in the admission limit.
   double weight = 1;
   /// Set when the query must end before all shards are settled.
--- a/core/gather/calls.cc
+++ b/core/gather/calls.cc
@@ -53,11 +53,11 @@
   return call.guarded ? CheckGuarded(tables, ctx, call) : std::nullopt;
 }
 
-/// The next call that may have a slot now. Urgent calls may use every usable slot.
-std::optional<call_key> NextCall(const gather_tables& tables, holding& holding, base::time_point now) {
+/// The next call that may have a slot now. Urgent calls go first. No slot is kept free for them: with three slots that
+/// would cost a third of the capacity, while the next slot is free after a third of a call.
+std::optional<call_key> NextCall(const gather_tables& tables, holding& holding) {
   if (holding.running.size() >= UsableSlots(holding.slots)) return std::nullopt;
   if (const auto urgent = PopLane(tables, holding.urgent)) return urgent;
-  if (holding.running.size() >= NormalSlots(holding, now)) return std::nullopt;
   return PopLane(tables, holding.normal);
 }
 
@@ -102,7 +102,7 @@
 
 void StartQueued(gather_tables& tables, instance::context& ctx, holding& holding) {
   while (!holding.incident.has_value() && StartExclusive(tables, ctx, holding)) {
-    const auto key = NextCall(tables, holding, ctx.now);
+    const auto key = NextCall(tables, holding);
     if (!key.has_value()) return;
     call& call = tables.calls.at(*key);
     call.state = call_state::kNext;
--- a/core/gather/gather.cc
+++ b/core/gather/gather.cc
@@ -23,8 +23,6 @@
 
 /// Calls in the queue of one backend server.
 constexpr std::size_t kMaxQueued = 1024;
-/// A call is refused if it would wait for more than this part of its remaining time, because it must also run.
-constexpr int kWaitPart = 4;
 /// How long after a pause arriving requests count as of before: one tick.
 constexpr base::duration kPauseTail = std::chrono::milliseconds(5);
 constexpr base::duration kEntryCheckInterval = std::chrono::milliseconds(100);
@@ -38,9 +36,12 @@
   bool withheld = false;
 };
 
-bool IsOverloaded(const holding& holding, const arrival& arrival, base::time_point now) {
+/// A call is refused only if it cannot end in time: one refused call costs its whole query, so overload is refused by
+/// the entries' admission before a query is sent.
+bool IsOverloaded(const holding& holding, const arrival& arrival) {
   if (holding.urgent.size + holding.normal.size >= kMaxQueued) return true;
-  return EstimateWait(holding, arrival.request->urgent, now) > arrival.remaining / kWaitPart;
+  const auto call_time = base::duration(static_cast<std::int64_t>(holding.slots.call_us));
+  return EstimateWait(holding, arrival.request->urgent) + call_time > arrival.remaining;
 }
 
 /// Why the call cannot be accepted, if so.
@@ -52,7 +53,7 @@
   if (holding == nullptr || !MayServe(*holding, ctx, item.primary_unusable)) return error_kind::kNotHolder;
   const bool draining = ctx.config != nullptr && membership::IsDraining(ctx.facts, *ctx.config, holding->id);
   if (draining || !holding->configured) return error_kind::kBackendDraining;
-  if (IsOverloaded(*holding, arrival, ctx.now)) return error_kind::kOverloaded;
+  if (IsOverloaded(*holding, arrival)) return error_kind::kOverloaded;
   if (!MayTry(*holding, ctx.now)) return error_kind::kConnectFailed;
   return std::nullopt;
 }
@@ -64,8 +65,7 @@
       {arrival.entry, arrival.request->query, NotRun(item.attempt, item.shard, item.backend_server, kind)});
 }
 
-void Accept(gather_tables& tables, instance::context& ctx, const arrival& arrival, const peer::gather_item& item,
-            holding& holding) {
+void Accept(gather_tables& tables, instance::context& ctx, const arrival& arrival, const peer::gather_item& item) {
   const call_key key{arrival.entry, item.attempt.value};
   call& call = tables.calls[key];
   call.key = key;
@@ -75,7 +75,6 @@
   call.arrived = ctx.now;
   call.deadline = ctx.now + arrival.remaining;
   ++tables.entries.at(arrival.entry).calls;
-  if (arrival.request->urgent) holding.urgent_seen = ctx.now;
   Classify(tables, ctx, call);
   if (!call.guarded) {
     EnqueueCall(tables, call);
@@ -107,7 +106,7 @@
     Refuse(tables, arrival, item, holding, *kind);
     return;
   }
-  Accept(tables, ctx, arrival, item, *holding);
+  Accept(tables, ctx, arrival, item);
 }
 
 /// One line for each backend server and kind of refusal, not one for each call.
--- a/core/gather/gather_tables.h
+++ b/core/gather/gather_tables.h
@@ -144,7 +144,6 @@
   /// The call that runs alone, or will as soon as no other runs.
   std::optional<call_key> exclusive;
   std::optional<crash_incident> incident;
-  base::time_point urgent_seen{};
   /// No queued call passes its deadline before this.
   base::time_point earliest_deadline = base::time_point::max();
   /// Something changed that may let a queued call start.
--- a/core/gather/slots.cc
+++ b/core/gather/slots.cc
@@ -9,8 +9,6 @@
 constexpr base::duration kColdRamp = std::chrono::seconds(2);
 /// Sheds within this time are one burst: their calls were sent before the first of them was seen.
 constexpr base::duration kShedBurst = std::chrono::milliseconds(20);
-/// How long one urgent call counts as urgent load.
-constexpr base::duration kUrgentLoad = std::chrono::seconds(1);
 /// Weight of the newest call in the mean time.
 constexpr double kCallWeight = 0.1;
 
@@ -20,14 +18,6 @@
   return std::clamp(static_cast<std::uint32_t>(slots.usable), std::uint32_t{1}, slots.limit);
 }
 
-std::uint32_t NormalSlots(const holding& holding, base::time_point now) {
-  const std::uint32_t usable = UsableSlots(holding.slots);
-  const bool urgent_load = holding.urgent_seen != base::time_point{} && now - holding.urgent_seen < kUrgentLoad;
-  // With fewer than three slots, a reserved one would halve the capacity.
-  if (!urgent_load || usable < 3) return usable;
-  return usable - std::max<std::uint32_t>(1, usable / 5);
-}
-
 void SetSlotLimit(holding_slots& slots, std::uint32_t server_slots, std::uint32_t connections) {
   const std::uint32_t limit = std::max<std::uint32_t>(1, std::min(server_slots, connections / 4));
   const bool full = slots.usable >= slots.limit && !slots.cold;
@@ -60,8 +50,8 @@
   slots.usable = std::max(1.0, slots.usable / 2);
 }
 
-base::duration EstimateWait(const holding& holding, bool urgent, base::time_point now) {
-  const std::uint32_t usable = urgent ? UsableSlots(holding.slots) : NormalSlots(holding, now);
+base::duration EstimateWait(const holding& holding, bool urgent) {
+  const std::uint32_t usable = UsableSlots(holding.slots);
   const std::size_t ahead = holding.urgent.size + (urgent ? 0 : holding.normal.size);
   const std::size_t calls = holding.running.size() + ahead + 1;
   if (calls <= usable) return {};
--- a/core/gather/slots.h
+++ b/core/gather/slots.h
@@ -10,10 +10,6 @@
 /// Calls that this holder may run at once now, between 1 and the limit.
 std::uint32_t UsableSlots(const holding_slots& slots);
 
-/// Calls that are not urgent may use these slots. While there is urgent load, a small share is left free for it, so
-/// that an urgent call finds a slot without waiting for the end of another call.
-std::uint32_t NormalSlots(const holding& holding, base::time_point now);
-
 /// Takes the limits of the configuration over.
 void SetSlotLimit(holding_slots& slots, std::uint32_t server_slots, std::uint32_t connections);
 
@@ -27,6 +23,6 @@
 void LowerSlots(holding_slots& slots, base::time_point now);
 
 /// Expected time in the queue of a call that is accepted now.
-base::duration EstimateWait(const holding& holding, bool urgent, base::time_point now);
+base::duration EstimateWait(const holding& holding, bool urgent);
 
 }  // namespace limpetrouter::core::gather
--- a/tests/scenario/world_callers.cc
+++ b/tests/scenario/world_callers.cc
@@ -137,6 +137,14 @@
 
 void world::ReceiveAnswer(std::size_t index, const std::string& instance, const peer::query_answer& answer) {
   trace_.requests[index].answers.push_back({now_, base::instance_id(instance), answer});
+  // docs/protocol.md: these refusals concern the instance, not the request, so a caller moves on to the next address.
+  using base::error_kind;
+  const error_kind kind = answer.failure;
+  const bool other_may_serve = kind == error_kind::kInstanceLeaving || kind == error_kind::kWarmingUp ||
+                               kind == error_kind::kProcessPaused || kind == error_kind::kNoConfiguration;
+  if (!answer.succeeded && answer.executed == base::executed_state::kNo && other_may_serve) {
+    Resend(index, 1, instance);
+  }
 }
 
 }  // namespace limpetrouter::tests::scenario
