Keep hedges within their share and never let libcurl write a call twice

Cause 3: libcurl resends a call on a dead reused connection. A crash was then reported as 'no connection, not run', which was false, and the request crashed the restarted server again. Calls are now written once. Extra load is counted by the query that caused a call: whole-run counts took in calls of queries outside the window.

--- a/core/entry/attempts.cc
+++ b/core/entry/attempts.cc
@@ -22,6 +22,8 @@
 constexpr std::uint32_t kCollectionSamples = 30;
 /// The threshold aims below the budget, which leaves room for second hedges and for bursts.
 constexpr double kPlannedShare = 0.85;
+/// With many hedges in a query some of them are late too; the rest of the budget pays for their second hedges.
+constexpr double kPlannedShareOfLarge = 0.7;
 constexpr base::duration kNoHolderDelay = std::chrono::milliseconds(50);
 
 const char* NameOf(attempt_kind kind) {
@@ -239,7 +241,8 @@
   routing::service_statistics& service = tables.statistics.services[ServiceOf(tables, query, shard)];
   const bool enough = routing::LatencySamples(service.latency) >= kServiceSamples;
   routing::latency_window& window = enough ? service.latency : tables.collections[query.request.collection].latency;
-  routing::RefreshSummary(window, kPlannedShare * query.config->limit.hedge_budget, now);
+  const double planned = query.shards.size() >= kLargeFanOut ? kPlannedShareOfLarge : kPlannedShare;
+  routing::RefreshSummary(window, planned * query.config->limit.hedge_budget, now);
   return window;
 }
 
--- a/core/entry/attempts.h
+++ b/core/entry/attempts.h
@@ -9,6 +9,10 @@
 
 namespace limpetrouter::core::entry {
 
+/// From this fan-out on, hedges wait until most calls of the query have answered: the few that are left decide its
+/// latency, and hedging each slow call on its own would cost twice the load for a worse result.
+inline constexpr std::size_t kLargeFanOut = 100;
+
 /// A call that has been decided on.
 struct planned_call {
   std::uint32_t shard = 0;
--- a/core/entry/hedge.cc
+++ b/core/entry/hedge.cc
@@ -12,9 +12,6 @@
 namespace limpetrouter::core::entry {
 namespace {
 
-/// From this fan-out on, hedges wait until most calls of the query have answered: the few that are left decide its
-/// latency, and hedging each slow call on its own would cost twice the load for a worse result.
-constexpr std::size_t kLargeFanOut = 100;
 constexpr double kAnsweredShare = 0.97;
 constexpr std::uint32_t kMaxHedges = 2;
 /// Ticks come late by half an interval on average; a hedge that is due before half of the next one is sent now.
@@ -50,7 +47,9 @@
   }
   const routing::latency_window& window = LatencyOf(round.tables, round.query, shard, round.ctx.now);
   hedge_times times;
-  times.hedge = threshold;
+  // The canary of a large fan-out delays all other shards, and one more call is a small part of the query's load.
+  const bool early_canary = round.large && round.query.canary == canary_state::kRunning;
+  times.hedge = early_canary ? std::min(threshold, window.healthy_p90) : threshold;
   times.overdue = std::max(kOverdueFactor * std::max(window.healthy_p99, threshold), kShortestOverdue);
   return times;
 }
@@ -102,6 +101,16 @@
   return !canary || (task.hedges == 0 && round.query.suspected_crashes == 0);
 }
 
+/// True if none of the servers that run the shard's calls has answered in time lately.
+bool IsSilent(const hedge_round& round, const shard_task& task) {
+  constexpr std::uint32_t kSilentCalls = 2;
+  for (std::uint8_t i = 0; i < task.running; ++i) {
+    const attempt& running = round.tables.queries.attempts.at(task.running_attempts[i]);
+    if (round.tables.statistics.servers[running.statistics].consecutive_slow < kSilentCalls) return false;
+  }
+  return true;
+}
+
 void CheckShard(hedge_round& round, std::uint32_t shard) {
   const shard_task& task = round.query.shards[shard];
   if (task.state != shard_state::kOpen || task.running == 0) return;
@@ -119,9 +128,10 @@
   round.next_check = std::min(round.next_check, round.ctx.now + kDeniedDelay);
   if (IsServiceSaturated(round.tables, round.query, shard, round.ctx.now)) return;
   if (hedge_due && AddCall(round, shard, attempt_kind::kHedge, "late")) return;
-  // When many servers are silent the hedge budget must not keep queries from their answers: the retry budget pays for
-  // the second call of a shard. A third one has a running alternative already and stays within the hedge budget.
-  if (now >= overdue_at && task.hedges == 0) AddCall(round, shard, attempt_kind::kRetry, "overdue");
+  // When servers are silent the hedge budget must not keep queries from their answers, so the retry budget pays. A
+  // single late call is a straggler and stays within the hedge budget.
+  if (now >= overdue_at && task.hedges == 0 && IsSilent(round, task))
+    AddCall(round, shard, attempt_kind::kRetry, "overdue");
 }
 
 }  // namespace
--- a/shell/backend_client.cc
+++ b/shell/backend_client.cc
@@ -124,7 +124,8 @@
   request.body = EncodeRun(call);
   request.deadline = steady_clock::now() + call.remaining;
   request.max_answer_bytes = kMaxBackendAnswerBytes;
-  request.write_once = !call.repeatable;
+  request.write_once = true;
+  request.own_connection = !call.repeatable;
   request.done = [this, call](const transfer_result& ended) { impl_->EndCall(call, ended); };
   request.id = pool.NewId();
   {
--- a/shell/transfer_pool.cc
+++ b/shell/transfer_pool.cc
@@ -84,7 +84,8 @@
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
     case CURLE_URL_MALFORMAT:
-      return transfer_outcome::kConnectFailed;
+      // After a write this is the failure of a second connect, and the request may have run on the first connection.
+      return t.writes == 0 ? transfer_outcome::kConnectFailed : transfer_outcome::kLost;
     case CURLE_OPERATION_TIMEDOUT:
       // libcurl uses the same code for its connect timeout and for the whole transfer.
       if (t.writes == 0 && steady_clock::now() < t.request.deadline) return transfer_outcome::kConnectFailed;
@@ -214,7 +215,7 @@
       curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(t.request.body.size()));
       curl_easy_setopt(h, CURLOPT_POSTFIELDS, t.request.body.data());
     }
-    if (t.request.write_once) {
+    if (t.request.own_connection) {
       curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt(h, CURLOPT_FORBID_REUSE, 1L);
     }
--- a/shell/transfer_pool.h
+++ b/shell/transfer_pool.h
@@ -49,8 +49,10 @@
   std::chrono::steady_clock::time_point deadline;
   std::size_t max_answer_bytes = 0;
   /// The request must not be written twice. libcurl writes a request again by itself when a reused connection turns out
-  /// to be dead, so such a request gets a connection of its own, and a second write is prevented.
+  /// to be dead, which would hide that the first write may have run or crashed the server.
   bool write_once = false;
+  /// Neither reuses a connection nor leaves one behind, so that a dead connection cannot cost the only try.
+  bool own_connection = false;
   /// Called exactly once, on the pool's thread, or on the caller's if the pool has stopped.
   std::function<void(transfer_result&&)> done;
 };
--- a/tests/scenario/measure.cc
+++ b/tests/scenario/measure.cc
@@ -26,6 +26,10 @@
 
 }  // namespace
 
+double measures::ExtraLoad() const {
+  return needed_calls == 0 ? 0 : static_cast<double>(calls) / static_cast<double>(needed_calls) - 1;
+}
+
 measures Measure(const world& world, const selection& selection) {
   measures found;
   std::vector<double> latencies;
@@ -38,6 +42,10 @@
       ++found.unanswered;
       continue;
     }
+    for (const received_answer& received : request.answers) {
+      const auto calls = world.record().calls_by_query.find(received.answer.query_id);
+      if (calls != world.record().calls_by_query.end()) found.calls += calls->second;
+    }
     const auto success = std::find_if(request.answers.begin(), request.answers.end(),
                                       [](const received_answer& a) { return a.answer.succeeded; });
     if (success == request.answers.end()) {
--- a/tests/scenario/measure.h
+++ b/tests/scenario/measure.h
@@ -34,6 +34,11 @@
   double min_coverage = 0;
   /// Shards answered in successes: the calls that were needed.
   std::uint64_t needed_calls = 0;
+  /// Backend calls that were made for all answered requests.
+  std::uint64_t calls = 0;
+
+  /// Calls above the needed ones, as a share of the needed ones.
+  double ExtraLoad() const;
 };
 
 measures Measure(const world& world, const selection& selection);
--- a/tests/scenario/trace.h
+++ b/tests/scenario/trace.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "core/base/strong_id.h"
@@ -104,6 +105,8 @@
   /// Backend calls that reached a server or failed to connect.
   std::uint64_t backend_calls = 0;
   std::map<std::int64_t, std::uint64_t> backend_calls_by_second;
+  /// Backend calls by query id, as callers see it in their answers.
+  std::unordered_map<std::string, std::uint32_t> calls_by_query;
   std::map<std::int64_t, std::uint64_t> platform_calls_by_second;
   std::uint64_t datagrams = 0;
   std::uint64_t control_bytes = 0;
--- a/tests/scenario/world_backend.cc
+++ b/tests/scenario/world_backend.cc
@@ -2,6 +2,8 @@
 #include <cmath>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "tests/scenario/data_set.h"
 #include "tests/scenario/world.h"
 
@@ -57,6 +59,7 @@
   const call_key key{call.entry, call.attempt};
   ++trace_.backend_calls;
   ++trace_.backend_calls_by_second[SecondOf(now_)];
+  ++trace_.calls_by_query[fmt::format("{}/{}/{}", call.entry.id.value, call.entry.incarnation.value, call.query.value)];
   p.calls.insert(key);
 
   // Ends the call once at the instance, with the connection closed or kept.
