--- a/bench/measure_slopes.cc
+++ b/bench/measure_slopes.cc
@@ -8,17 +8,16 @@
 /// Measures the slopes of docs/CAPACITY.md with small stand-ins. Arguments name sections; none runs all of them.
 int main(int argc, char** argv) {
   using section = std::pair<const char*, void (*)()>;
-  constexpr section kSections[] = {{"core", limpetrouter::bench::MeasureCore},
-                                   {"memory", limpetrouter::bench::MeasureMemory},
-                                   {"control", limpetrouter::bench::MeasureControl},
-                                   {"recovery", limpetrouter::bench::MeasureRecovery},
-                                   {"placement", limpetrouter::bench::MeasurePlacement}};
+  constexpr section kSections[] = {
+      {"core", limpetrouter::bench::MeasureCore},           {"memory", limpetrouter::bench::MeasureMemory},
+      {"control", limpetrouter::bench::MeasureControl},     {"recovery", limpetrouter::bench::MeasureRecovery},
+      {"placement", limpetrouter::bench::MeasurePlacement}, {"http", limpetrouter::bench::MeasureHttp}};
   for (int i = 1; i < argc; ++i) {
     bool known = false;
     for (const auto& [name, run] : kSections)
       known = known || std::strcmp(name, argv[i]) == 0;
     if (known) continue;
-    fmt::print(stderr, "no section '{}'; there are core, memory, control, recovery, placement\n", argv[i]);
+    fmt::print(stderr, "no section '{}'; there are core, memory, control, recovery, placement, http\n", argv[i]);
     return 2;
   }
   for (const auto& [name, run] : kSections) {
--- a/bench/slope_control.cc
+++ b/bench/slope_control.cc
@@ -56,6 +56,9 @@
 }
 
 void MeasureSteadyState() {
+  std::vector<slope_point> start_bytes;
+  std::vector<slope_point> start_cpu;
+  std::vector<slope_point> restart_bytes;
   std::vector<slope_point> bytes;
   std::vector<slope_point> messages;
   std::vector<slope_point> cpu;
@@ -73,8 +76,13 @@
       return false;
     };
     membership::Publish(fleet, 1);
-    membership::Run(fleet, seconds(40));
     constexpr double kSpan = 20;
+    membership::Run(fleet, seconds(40));
+    const control_load started = MeasureSpan(fleet, seconds(20), sent);
+    start_bytes.push_back({size, started.bytes / kSpan});
+    start_cpu.push_back({size, started.cpu_us / kSpan});
+    // The news of all starts is sent at a bounded rate, which takes longer in a larger fleet.
+    membership::Run(fleet, milliseconds(1500) * static_cast<int>(members));
     const control_load steady = MeasureSpan(fleet, seconds(20), sent);
     bytes.push_back({size, steady.bytes / kSpan});
     messages.push_back({size, steady.messages / kSpan});
@@ -90,16 +98,26 @@
     change_bytes.push_back({size, change});
     with_changes.push_back({size, steady.bytes / kSpan + change / kSecondsBetweenChanges});
 
+    const double before_restart = static_cast<double>(BytesSent(fleet)) / size;
+    membership::Restart(fleet, members / 2);
+    constexpr double kRestartSpan = 60;
+    membership::Run(fleet, seconds(60));
+    restart_bytes.push_back(
+        {size, static_cast<double>(BytesSent(fleet)) / size - before_restart - steady.bytes / kSpan * kRestartSpan});
+
     fleet.no_service = [](std::size_t index) { return index % 10 == 0; };
     membership::Run(fleet, seconds(25));
     membership::Publish(fleet, 3);
     in_force_cut.push_back({size, SecondsUntilInForce(fleet, 3)});
   }
+  PrintSlope("bytes sent per instance and second, 40 to 60 s after a start of all", "bytes/s", start_bytes);
+  PrintSlope("processor time per instance and second, 40 to 60 s after a start of all", "us/s", start_cpu);
   PrintSlope("bytes sent per instance and second, steady state", "bytes/s", bytes);
   PrintSlope("messages sent per instance and second, steady state", "messages/s", messages);
   PrintSlope("processor time per instance and second, with encoding and the loop", "us/s", cpu);
   PrintSlope("configuration reads per second, whole fleet", "calls/s", calls);
   PrintSlope("bytes sent per instance for one small configuration change", "bytes", change_bytes);
+  PrintSlope("bytes sent per instance for the restart of one instance, within 60 s", "bytes", restart_bytes);
   PrintSlope("bytes sent per instance and second with a change every 288 s", "bytes/s", with_changes);
   PrintSlope("small change in force on all instances", "s", in_force);
   PrintSlope("same, a tenth cut from the service", "s", in_force_cut);
--- a/bench/slope_core.cc
+++ b/bench/slope_core.cc
@@ -72,6 +72,7 @@
 void MeasureCore() {
   std::vector<slope_point> entry;
   std::vector<slope_point> gatherer;
+  std::vector<slope_point> gatherer_call;
   std::vector<slope_point> request_bytes;
   std::vector<slope_point> answer_bytes;
   std::vector<slope_point> answers;
@@ -84,6 +85,8 @@
     const double size = fan_out;
     entry.push_back({size, cost.entry_us / queries});
     gatherer.push_back({size, cost.gatherer_us / queries});
+    // Three replicas with two holders each over six gatherers: each holds as many backend servers as there are shards.
+    gatherer_call.push_back({size, cost.gatherer_us / static_cast<double>(cost.counts.backend_calls)});
     request_bytes.push_back({size, static_cast<double>(cost.counts.request_bytes) / queries});
     answer_bytes.push_back({size, static_cast<double>(cost.counts.answer_bytes) / queries});
     requests.push_back({size, static_cast<double>(cost.counts.gather_requests) / queries});
@@ -94,6 +97,7 @@
   PrintTableHead("Decision core and messages between instances, by shards of a query");
   PrintSlope("entry: processor time per query", "us", entry);
   PrintSlope("gatherers together: processor time per query", "us", gatherer);
+  PrintSlope("gatherer: processor time per backend call, by backend servers held", "us", gatherer_call);
   PrintSlope("backend calls per query", "calls", extra);
   PrintSlope("gather requests per query (6 gatherers)", "messages", requests);
   PrintSlope("gather answers per query (6 gatherers)", "messages", answers);
--- a/bench/slope_recovery.cc
+++ b/bench/slope_recovery.cc
@@ -17,7 +17,7 @@
 using std::chrono::seconds;
 
 constexpr std::uint32_t kDataCentres = 5;
-constexpr std::size_t kMembers[] = {10, 25, 50, 150};
+constexpr std::size_t kMembers[] = {10, 50, 150, 450};
 
 std::uint64_t Sum(const membership::fleet& fleet, std::uint64_t membership::fleet_instance::*counter) {
   return std::accumulate(fleet.instances.begin(), fleet.instances.end(), std::uint64_t{0},
--- a/bench/slope_sections.h
+++ b/bench/slope_sections.h
@@ -12,5 +12,7 @@
 void MeasureRecovery();
 /// Placement of holders: time, spread, moves and gatherers per query.
 void MeasurePlacement();
+/// Processor time of the client that calls backend servers, against a loopback server.
+void MeasureHttp();
 
 }  // namespace limpetrouter::bench
