--- a/bench/core_fleet.cc
+++ b/bench/core_fleet.cc
@@ -115,10 +115,10 @@
 
 }  // namespace
 
-core_fleet MakeCoreFleet(const nlohmann::json& document, std::uint32_t data_centres) {
+core_fleet MakeCoreFleet(const nlohmann::json& document, std::uint32_t data_centres, std::uint32_t gatherers) {
   core_fleet fleet;
   fleet.source = MakePlannedSource(1, document);
-  const std::size_t count = 1 + 2 * data_centres;
+  const std::size_t count = 1 + gatherers;
   for (std::size_t i = 0; i < count; ++i) {
     core::membership::identity self;
     self.ref = {base::instance_id(fmt::format("k{}", i)), base::incarnation_id(1'000'000 + i)};
--- a/bench/core_fleet.h
+++ b/bench/core_fleet.h
@@ -27,7 +27,7 @@
 };
 
 /// A few whole instances with instant fakes around them, on a virtual clock in steps of 1 ms. Instance 0 is in a data
-/// centre without backend servers, so it is an entry only; two more in each other data centre are gatherers only.
+/// centre without backend servers, so it is an entry only; the others are gatherers only.
 struct core_fleet {
   std::vector<std::unique_ptr<core::instance::instance>> instances;
   /// Processor time inside the decision core in microseconds, by instance.
@@ -44,7 +44,8 @@
   bool lose_requests = false;
 };
 
-core_fleet MakeCoreFleet(const nlohmann::json& document, std::uint32_t data_centres);
+/// Besides the entry, `gatherers` instances spread evenly over the data centres of the document.
+core_fleet MakeCoreFleet(const nlohmann::json& document, std::uint32_t data_centres, std::uint32_t gatherers = 6);
 /// Runs for `span`, with `queries_per_second` to the entry.
 void RunCoreFleet(core_fleet& fleet, core::base::duration span, double queries_per_second);
 /// Sends one query to the entry at once.
--- a/bench/slope_control.cc
+++ b/bench/slope_control.cc
@@ -99,11 +99,13 @@
     with_changes.push_back({size, steady.bytes / kSpan + change / kSecondsBetweenChanges});
 
     const double before_restart = static_cast<double>(BytesSent(fleet)) / size;
+    // The counter of the restarted instance starts at zero again.
+    const auto lost = static_cast<double>(fleet.instances[members / 2]->bytes_sent) / size;
     membership::Restart(fleet, members / 2);
     constexpr double kRestartSpan = 60;
     membership::Run(fleet, seconds(60));
-    restart_bytes.push_back(
-        {size, static_cast<double>(BytesSent(fleet)) / size - before_restart - steady.bytes / kSpan * kRestartSpan});
+    restart_bytes.push_back({size, static_cast<double>(BytesSent(fleet)) / size + lost - before_restart -
+                                       steady.bytes / kSpan * kRestartSpan});
 
     fleet.no_service = [](std::size_t index) { return index % 10 == 0; };
     membership::Run(fleet, seconds(25));
--- a/bench/slope_core.cc
+++ b/bench/slope_core.cc
@@ -28,8 +28,9 @@
 };
 
 /// Runs idle and then under load; the idle time (ticks, membership, the clock) is subtracted.
-core_cost MeasureFanOut(std::uint32_t fan_out) {
-  core_fleet fleet = MakeCoreFleet(MakePlannedDocument({fan_out * 3, fan_out, kDataCentres}), kDataCentres);
+core_cost MeasureFanOut(std::uint32_t fan_out, std::uint32_t gatherer_count = 6) {
+  core_fleet fleet =
+      MakeCoreFleet(MakePlannedDocument({fan_out * 3, fan_out, kDataCentres}), kDataCentres, gatherer_count);
   RunCoreFleet(fleet, kSettle, 0);
   const auto entry = [&fleet] { return fleet.core_us[0]; };
   const auto gatherers = [&fleet] { return std::accumulate(fleet.core_us.begin() + 1, fleet.core_us.end(), 0.0); };
@@ -67,6 +68,29 @@
   return (ThreadMicroseconds() - start) / static_cast<double>(rounds);
 }
 
+/// A query of the planned fan-out over more and more gatherers, so more and smaller messages.
+void MeasureGatherers() {
+  constexpr std::uint32_t kFanOut = 870;
+  std::vector<slope_point> entry;
+  std::vector<slope_point> gatherer_call;
+  std::vector<slope_point> requests;
+  std::vector<slope_point> request_bytes;
+  for (const std::uint32_t gatherers : {6U, 15U, 30U, 60U}) {
+    const core_cost cost = MeasureFanOut(kFanOut, gatherers);
+    const auto queries = static_cast<double>(cost.counts.replies);
+    const double size = gatherers;
+    entry.push_back({size, cost.entry_us / queries});
+    gatherer_call.push_back(
+        {2.0 * 3 * kFanOut / size, cost.gatherer_us / static_cast<double>(cost.counts.backend_calls)});
+    requests.push_back({size, static_cast<double>(cost.counts.gather_requests) / queries});
+    request_bytes.push_back({size, static_cast<double>(cost.counts.request_bytes) / queries});
+  }
+  PrintSlope("870 shards: entry time per query, by gatherers", "us", entry);
+  PrintSlope("870 shards: gatherer time per backend call, by backend servers held", "us", gatherer_call);
+  PrintSlope("870 shards: gather requests per query, by gatherers", "messages", requests);
+  PrintSlope("870 shards: bytes of gather requests per query, by gatherers", "bytes", request_bytes);
+}
+
 }  // namespace
 
 void MeasureCore() {
@@ -104,6 +128,7 @@
   PrintSlope("bytes of gather requests per query", "bytes", request_bytes);
   PrintSlope("bytes of gather answers per query", "bytes", answer_bytes);
   PrintSlope("queries without success", "queries", failed);
+  MeasureGatherers();
   std::vector<slope_point> codec;
   for (const std::size_t results : {1U, 4U, 16U, 64U, 145U})
     codec.push_back({static_cast<double>(results), CodecMicroseconds(results)});
--- a/bench/slope_recovery.cc
+++ b/bench/slope_recovery.cc
@@ -12,7 +12,6 @@
 namespace {
 
 namespace membership = core::membership;
-namespace base = core::base;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
