Check calls that reach a draining backend server

The drain checker counted only calls that a draining server started, but the fake server refuses every call while it drains, so the checker could not fire. It now counts the refused calls too, and also checks servers that the inventory lists as leaving, from the first instance that accepts the revision.

--- a/tests/scenario/checkers.cc
+++ b/tests/scenario/checkers.cc
@@ -60,6 +60,28 @@
   return nullptr;
 }
 
+/// When a drain must be in effect. One that the inventory states counts from the first instance that accepts it.
+base::time_point DrainDue(const trace& trace, const drain_record& drain) {
+  if (drain.revision == 0) return drain.at + kDrainBound;
+  base::time_point accepted = base::time_point::max();
+  for (const revision_change& change : trace.revisions) {
+    if (change.revision >= drain.revision) accepted = std::min(accepted, change.at);
+  }
+  return accepted == base::time_point::max() ? accepted : accepted + kConfigurationBound;
+}
+
+/// True if an instance has just accepted a revision newer than all before the drain. Such a revision ends the drain by
+/// the rules, and the server must say again that it drains.
+bool HasNewRevision(const trace& trace, const drain_record& drain, base::time_point at) {
+  std::uint64_t before = 0;
+  for (const revision_change& change : trace.revisions) {
+    if (change.at <= drain.at) before = std::max(before, change.revision);
+  }
+  return std::any_of(trace.revisions.begin(), trace.revisions.end(), [&](const revision_change& change) {
+    return change.revision > before && change.at <= at && at < change.at + kDrainBound;
+  });
+}
+
 }  // namespace
 
 property_report CheckOneSnapshot(const world& world) {
@@ -191,16 +213,24 @@
 
 property_report CheckDrains(const world& world) {
   property_report report{"drain", 0, {}};
-  for (const drain_record& drain : world.record().drains) {
+  const trace& trace = world.record();
+  for (const drain_record& drain : trace.drains) {
+    const base::time_point due = DrainDue(trace, drain);
+    if (due >= std::min(drain.undone, world.now())) continue;
     ++report.checked;
-    std::size_t late = 0;
-    for (const execution& run : world.record().executions) {
-      const bool in_drain = run.started >= drain.at + kDrainBound && run.started < drain.undone;
-      if (run.backend_server == drain.backend_server && in_drain) ++late;
-    }
-    if (late > 0) {
+    const auto is_late = [&](const std::string& server, base::time_point at) {
+      return server == drain.backend_server && at >= due && at < drain.undone;
+    };
+    const auto started = std::count_if(trace.executions.begin(), trace.executions.end(),
+                                       [&](const execution& run) { return is_late(run.backend_server, run.started); });
+    const auto refused =
+        std::count_if(trace.drain_refusals.begin(), trace.drain_refusals.end(), [&](const drain_refusal& call) {
+          return is_late(call.backend_server, call.at) && !HasNewRevision(trace, drain, call.at);
+        });
+    if (started + refused > 0) {
       report.violations.push_back(
-          fmt::format("{} started {} calls later than 2 s after its drain", drain.backend_server, late));
+          fmt::format("{} started {} calls and refused {} later than {:.3f} s, its drain is due", drain.backend_server,
+                      started, refused, Seconds(due)));
     }
   }
   return report;
--- a/tests/scenario/trace.h
+++ b/tests/scenario/trace.h
@@ -72,6 +72,14 @@
   std::string backend_server;
   /// Infinite while the drain is not undone.
   base::time_point undone = base::time_point::max();
+  /// Revision that lists the server as leaving, or 0 if the server drains by itself.
+  std::uint64_t revision = 0;
+};
+
+/// A call that reached a draining backend server, which did not run it.
+struct drain_refusal {
+  base::time_point at;
+  std::string backend_server;
 };
 
 struct life_record {
@@ -97,6 +105,7 @@
   std::vector<revision_change> revisions;
   std::vector<publication> publications;
   std::vector<drain_record> drains;
+  std::vector<drain_refusal> drain_refusals;
   std::vector<life_record> lives;
   std::vector<outage_record> outages;
   /// Crashes of backend servers that a request caused.
--- a/tests/scenario/world.cc
+++ b/tests/scenario/world.cc
@@ -335,6 +335,21 @@
   const auto parsed = core::config::ParseConfiguration(base::revision_id(revision), document);
   configurations_[revision] = parsed.has_value() ? *parsed : nullptr;
   trace_.publications.push_back({now_, revision, parsed.has_value()});
+  if (parsed.has_value()) NoteInventoryDrains(**parsed);
+}
+
+void world::NoteInventoryDrains(const core::config::configuration& config) {
+  for (const core::config::backend_server& server : config.backend_servers) {
+    const auto open = std::find_if(trace_.drains.begin(), trace_.drains.end(), [&](const drain_record& drain) {
+      return drain.backend_server == server.id.value && drain.revision != 0 && drain.undone == base::time_point::max();
+    });
+    const bool leaving = server.state == core::config::backend_state::kLeaving;
+    if (leaving && open == trace_.drains.end()) {
+      trace_.drains.push_back({now_, server.id.value, base::time_point::max(), config.revision.value});
+    } else if (!leaving && open != trace_.drains.end()) {
+      open->undone = now_;
+    }
+  }
 }
 
 core::config::configuration_ptr world::ConfigurationAt(std::uint64_t revision) const {
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -136,6 +136,7 @@
   void Deliver(const std::string& instance, std::uint64_t life, core::io::event event);
   void Execute(process& p, core::io::command_list& commands);
   void NoteRevision(process& p);
+  void NoteInventoryDrains(const core::config::configuration& config);
 
   // Network.
   bool IsCut(const std::string& from, const std::string& to) const;
--- a/tests/scenario/world_backend.cc
+++ b/tests/scenario/world_backend.cc
@@ -121,6 +121,7 @@
     return;
   }
   if (server.draining) {
+    trace_.drain_refusals.push_back({now_, id});
     backend_reply reply = Refusal(base::error_kind::kBackendDraining, base::executed_state::kNo);
     reply.result.draining = true;
     call.reply(reply);
@@ -321,7 +322,8 @@
     return;
   }
   ++server.boot;
-  server.draining = false;
+  // A restart ends the drain of the former life.
+  SetBackendDraining(id, false);
   server.frozen = false;
   server.cold_until = now_ + kColdTime;
 }
@@ -351,11 +353,12 @@
   if (server.draining == draining) return;
   server.draining = draining;
   if (draining) {
-    trace_.drains.push_back({now_, id});
+    trace_.drains.push_back({now_, id, base::time_point::max(), 0});
     return;
   }
   for (drain_record& drain : trace_.drains) {
-    if (drain.backend_server == id && drain.undone == base::time_point::max()) drain.undone = now_;
+    if (drain.backend_server == id && drain.revision == 0 && drain.undone == base::time_point::max())
+      drain.undone = now_;
   }
 }
 
