--- a/tests/scenario/checkers.cc
+++ b/tests/scenario/checkers.cc
@@ -60,6 +60,16 @@
   return nullptr;
 }
 
+/// True if the graceful end of `life` broke the connection of a request, or came while the caller's address for its
+/// first send was still valid. Resends choose instances without asking for addresses, so only broken ones count there.
+bool IsCutOff(const caller_request& request, const life_record& life, bool first_send) {
+  return std::any_of(request.losses.begin(), request.losses.end(), [&](const connection_loss& loss) {
+    if (loss.instance != life.instance.id || loss.at < life.started) return false;
+    if (loss.opened) return loss.at == life.ended;
+    return first_send && loss.at <= request.sent + kAnswerSlack;
+  });
+}
+
 /// When a drain must be in effect. One that the inventory states counts from the first instance that accepts it.
 base::time_point DrainDue(const trace& trace, const drain_record& drain) {
   if (drain.revision == 0) return drain.at + kDrainBound;
@@ -244,7 +254,7 @@
       const life_record* life = LifeAt(trace, request.sent_to[i], request.sent);
       if (life == nullptr || life->killed || life->ended == base::time_point::max()) continue;
       ++report.checked;
-      if (i == 0 && (request.lost_connections > 0 || request.connect_failures > 0)) {
+      if (IsCutOff(request, *life, i == 0)) {
         report.violations.push_back(fmt::format("{}: cut off by the shutdown of {} at {:.3f} s", request.request_id,
                                                 life->instance.id.value, Seconds(life->ended)));
       }
--- a/tests/scenario/trace.h
+++ b/tests/scenario/trace.h
@@ -21,6 +21,13 @@
   peer::query_answer answer;
 };
 
+/// A connection of a caller that broke before the answer, or could not be opened.
+struct connection_loss {
+  base::time_point at;
+  base::instance_id instance;
+  bool opened = false;
+};
+
 /// One request of a caller with everything that happened to it on the caller's side.
 struct caller_request {
   std::string request_id;
@@ -34,6 +41,8 @@
   std::uint32_t connect_failures = 0;
   /// The connection broke before the answer: the instance was killed or exited.
   std::uint32_t lost_connections = 0;
+  /// Both kinds with their instances.
+  std::vector<connection_loss> losses;
   std::vector<received_answer> answers;
 };
 
--- a/tests/scenario/world.cc
+++ b/tests/scenario/world.cc
@@ -161,6 +161,7 @@
   for (const auto& [handle, request] : p.requests_by_handle) {
     // The caller sees its connection close.
     ++trace_.requests[request].lost_connections;
+    trace_.requests[request].losses.push_back({now_, base::instance_id(instance), true});
     Schedule(network_.from_callers, [this, request, instance] { Resend(request, 1, instance); });
   }
   p.requests_by_handle.clear();
--- a/tests/scenario/world_callers.cc
+++ b/tests/scenario/world_callers.cc
@@ -106,6 +106,7 @@
     process& p = ProcessOf(instance);
     if (!p.running) {
       ++trace_.requests[index].connect_failures;
+      trace_.requests[index].losses.push_back({now_, base::instance_id(instance), false});
       Schedule(network_.from_callers,
                [this, index, resends_left, instance] { Resend(index, std::max(resends_left, 1U), instance); });
       return;
