--- a/tests/scenario/checkers.cc
+++ b/tests/scenario/checkers.cc
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "core/base/digest.h"
 #include "tests/scenario/data_set.h"
 
 namespace limpetrouter::tests::scenario {
@@ -44,6 +45,14 @@
   return shards;
 }
 
+/// True if all rows were made for the key and body of the request.
+bool HasOwnRows(const caller_request& request, const peer::query_answer& answer) {
+  const std::string digest = core::base::HexDigest(request.request.key + '\n' + request.request.body);
+  return std::all_of(answer.rows.begin(), answer.rows.end(), [&](const peer::result_row& row) {
+    return nlohmann::json::parse(row.value).at("request") == digest;
+  });
+}
+
 /// Executions by the query that caused them.
 std::multimap<std::string, const execution*> ExecutionsByQuery(const trace& trace) {
   std::multimap<std::string, const execution*> found;
@@ -169,6 +178,9 @@
         report.violations.push_back(
             fmt::format("{}: got the answer to {}", request.request_id, received.answer.request_id));
       }
+      if (!HasOwnRows(request, received.answer)) {
+        report.violations.push_back(fmt::format("{}: got rows of another request", request.request_id));
+      }
     }
     // Each send is answered, unless its instance died or was frozen or cut off meanwhile.
     if (request.sent_to.empty() || !request.answers.empty() || request.lost_connections > 0) continue;
