--- a/tests/scenario/checkers.cc
+++ b/tests/scenario/checkers.cc
@@ -69,14 +69,21 @@
   return nullptr;
 }
 
-/// True if the graceful end of `life` broke the connection of a request, or came while the caller's address for its
-/// first send was still valid. Resends choose instances without asking for addresses, so only broken ones count there.
-bool IsCutOff(const caller_request& request, const life_record& life, bool first_send) {
-  return std::any_of(request.losses.begin(), request.losses.end(), [&](const connection_loss& loss) {
-    if (loss.instance != life.instance.id || loss.at < life.started) return false;
-    if (loss.opened) return loss.at == life.ended;
-    return first_send && loss.at <= request.sent + kAnswerSlack;
-  });
+/// The graceful end that cost a request its connection, if one did. A connection broke in the moment of the end, or the
+/// first send found the instance gone although the caller's address was still valid. Resends choose instances without
+/// asking for addresses, so a connection that could not be opened does not count there.
+const life_record* FindCutOff(const trace& trace, const caller_request& request) {
+  for (const connection_loss& loss : request.losses) {
+    const bool first =
+        !request.sent_to.empty() && loss.instance == request.sent_to.front() && loss.at <= request.sent + kAnswerSlack;
+    if (!loss.opened && !first) continue;
+    const life_record* last = nullptr;
+    for (const life_record& life : trace.lives) {
+      if (life.instance.id == loss.instance && life.started <= loss.at) last = &life;
+    }
+    if (last != nullptr && !last->killed && last->ended <= loss.at) return last;
+  }
+  return nullptr;
 }
 
 /// When a drain must be in effect. One that the inventory states counts from the first instance that accepts it.
@@ -262,15 +269,16 @@
   property_report report{"shutdown", 0, {}};
   const trace& trace = world.record();
   for (const caller_request& request : trace.requests) {
-    for (std::size_t i = 0; i < request.sent_to.size(); ++i) {
-      const life_record* life = LifeAt(trace, request.sent_to[i], request.sent);
-      if (life == nullptr || life->killed || life->ended == base::time_point::max()) continue;
-      ++report.checked;
-      if (IsCutOff(request, *life, i == 0)) {
-        report.violations.push_back(fmt::format("{}: cut off by the shutdown of {} at {:.3f} s", request.request_id,
-                                                life->instance.id.value, Seconds(life->ended)));
-      }
+    const life_record* const cut_off = FindCutOff(trace, request);
+    if (cut_off != nullptr) {
+      report.violations.push_back(fmt::format("{}: cut off by the shutdown of {} at {:.3f} s", request.request_id,
+                                              cut_off->instance.id.value, Seconds(cut_off->ended)));
     }
+    const auto left = std::count_if(request.sent_to.begin(), request.sent_to.end(), [&](const base::instance_id& id) {
+      const life_record* const life = LifeAt(trace, id, request.sent);
+      return life != nullptr && !life->killed && life->ended != base::time_point::max();
+    });
+    report.checked += static_cast<std::uint64_t>(left) + (cut_off != nullptr && left == 0 ? 1 : 0);
   }
   return report;
 }
