--- a/tests/scenario/checkers.cc
+++ b/tests/scenario/checkers.cc
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "core/base/digest.h"
 #include "tests/scenario/data_set.h"
 
 namespace limpetrouter::tests::scenario {
@@ -44,6 +45,14 @@
   return shards;
 }
 
+/// True if all rows were made for the key and body of the request.
+bool HasOwnRows(const caller_request& request, const peer::query_answer& answer) {
+  const std::string digest = core::base::HexDigest(request.request.key + '\n' + request.request.body);
+  return std::all_of(answer.rows.begin(), answer.rows.end(), [&](const peer::result_row& row) {
+    return nlohmann::json::parse(row.value).at("request") == digest;
+  });
+}
+
 /// Executions by the query that caused them.
 std::multimap<std::string, const execution*> ExecutionsByQuery(const trace& trace) {
   std::multimap<std::string, const execution*> found;
@@ -60,6 +69,45 @@
   return nullptr;
 }
 
+/// The graceful end that cost a request its connection, if one did. A connection broke in the moment of the end, or the
+/// first send found the instance gone although the caller's address was still valid. Resends choose instances without
+/// asking for addresses, so a connection that could not be opened does not count there.
+const life_record* FindCutOff(const trace& trace, const caller_request& request) {
+  for (const connection_loss& loss : request.losses) {
+    const bool first =
+        !request.sent_to.empty() && loss.instance == request.sent_to.front() && loss.at <= request.sent + kAnswerSlack;
+    if (!loss.opened && !first) continue;
+    const life_record* last = nullptr;
+    for (const life_record& life : trace.lives) {
+      if (life.instance.id == loss.instance && life.started <= loss.at) last = &life;
+    }
+    if (last != nullptr && !last->killed && last->ended <= loss.at) return last;
+  }
+  return nullptr;
+}
+
+/// When a drain must be in effect. One that the inventory states counts from the first instance that accepts it.
+base::time_point DrainDue(const trace& trace, const drain_record& drain) {
+  if (drain.revision == 0) return drain.at + kDrainBound;
+  base::time_point accepted = base::time_point::max();
+  for (const revision_change& change : trace.revisions) {
+    if (change.revision >= drain.revision) accepted = std::min(accepted, change.at);
+  }
+  return accepted == base::time_point::max() ? accepted : accepted + kConfigurationBound;
+}
+
+/// True if an instance has just accepted a revision newer than all before the drain. Such a revision ends the drain by
+/// the rules, and the server must say again that it drains.
+bool HasNewRevision(const trace& trace, const drain_record& drain, base::time_point at) {
+  std::uint64_t before = 0;
+  for (const revision_change& change : trace.revisions) {
+    if (change.at <= drain.at) before = std::max(before, change.revision);
+  }
+  return std::any_of(trace.revisions.begin(), trace.revisions.end(), [&](const revision_change& change) {
+    return change.revision > before && change.at <= at && at < change.at + kDrainBound;
+  });
+}
+
 }  // namespace
 
 property_report CheckOneSnapshot(const world& world) {
@@ -137,6 +185,9 @@
         report.violations.push_back(
             fmt::format("{}: got the answer to {}", request.request_id, received.answer.request_id));
       }
+      if (!HasOwnRows(request, received.answer)) {
+        report.violations.push_back(fmt::format("{}: got rows of another request", request.request_id));
+      }
     }
     // Each send is answered, unless its instance died or was frozen or cut off meanwhile.
     if (request.sent_to.empty() || !request.answers.empty() || request.lost_connections > 0) continue;
@@ -191,16 +242,24 @@
 
 property_report CheckDrains(const world& world) {
   property_report report{"drain", 0, {}};
-  for (const drain_record& drain : world.record().drains) {
+  const trace& trace = world.record();
+  for (const drain_record& drain : trace.drains) {
+    const base::time_point due = DrainDue(trace, drain);
+    if (due >= std::min(drain.undone, world.now())) continue;
     ++report.checked;
-    std::size_t late = 0;
-    for (const execution& run : world.record().executions) {
-      const bool in_drain = run.started >= drain.at + kDrainBound && run.started < drain.undone;
-      if (run.backend_server == drain.backend_server && in_drain) ++late;
-    }
-    if (late > 0) {
+    const auto is_late = [&](const std::string& server, base::time_point at) {
+      return server == drain.backend_server && at >= due && at < drain.undone;
+    };
+    const auto started = std::count_if(trace.executions.begin(), trace.executions.end(),
+                                       [&](const execution& run) { return is_late(run.backend_server, run.started); });
+    const auto refused =
+        std::count_if(trace.drain_refusals.begin(), trace.drain_refusals.end(), [&](const drain_refusal& call) {
+          return is_late(call.backend_server, call.at) && !HasNewRevision(trace, drain, call.at);
+        });
+    if (started + refused > 0) {
       report.violations.push_back(
-          fmt::format("{} started {} calls later than 2 s after its drain", drain.backend_server, late));
+          fmt::format("{} started {} calls and refused {} later than {:.3f} s, its drain is due", drain.backend_server,
+                      started, refused, Seconds(due)));
     }
   }
   return report;
@@ -210,15 +269,16 @@
   property_report report{"shutdown", 0, {}};
   const trace& trace = world.record();
   for (const caller_request& request : trace.requests) {
-    for (std::size_t i = 0; i < request.sent_to.size(); ++i) {
-      const life_record* life = LifeAt(trace, request.sent_to[i], request.sent);
-      if (life == nullptr || life->killed || life->ended == base::time_point::max()) continue;
-      ++report.checked;
-      if (i == 0 && (request.lost_connections > 0 || request.connect_failures > 0)) {
-        report.violations.push_back(fmt::format("{}: cut off by the shutdown of {} at {:.3f} s", request.request_id,
-                                                life->instance.id.value, Seconds(life->ended)));
-      }
+    const life_record* const cut_off = FindCutOff(trace, request);
+    if (cut_off != nullptr) {
+      report.violations.push_back(fmt::format("{}: cut off by the shutdown of {} at {:.3f} s", request.request_id,
+                                              cut_off->instance.id.value, Seconds(cut_off->ended)));
     }
+    const auto left = std::count_if(request.sent_to.begin(), request.sent_to.end(), [&](const base::instance_id& id) {
+      const life_record* const life = LifeAt(trace, id, request.sent);
+      return life != nullptr && !life->killed && life->ended != base::time_point::max();
+    });
+    report.checked += static_cast<std::uint64_t>(left) + (cut_off != nullptr && left == 0 ? 1 : 0);
   }
   return report;
 }
--- a/tests/scenario/trace.h
+++ b/tests/scenario/trace.h
@@ -22,6 +22,13 @@
   peer::query_answer answer;
 };
 
+/// A connection of a caller that broke before the answer, or could not be opened.
+struct connection_loss {
+  base::time_point at;
+  base::instance_id instance;
+  bool opened = false;
+};
+
 /// One request of a caller with everything that happened to it on the caller's side.
 struct caller_request {
   std::string request_id;
@@ -35,6 +42,8 @@
   std::uint32_t connect_failures = 0;
   /// The connection broke before the answer: the instance was killed or exited.
   std::uint32_t lost_connections = 0;
+  /// Both kinds with their instances.
+  std::vector<connection_loss> losses;
   std::vector<received_answer> answers;
 };
 
@@ -73,6 +82,14 @@
   std::string backend_server;
   /// Infinite while the drain is not undone.
   base::time_point undone = base::time_point::max();
+  /// Revision that lists the server as leaving, or 0 if the server drains by itself.
+  std::uint64_t revision = 0;
+};
+
+/// A call that reached a draining backend server, which did not run it.
+struct drain_refusal {
+  base::time_point at;
+  std::string backend_server;
 };
 
 struct life_record {
@@ -98,6 +115,7 @@
   std::vector<revision_change> revisions;
   std::vector<publication> publications;
   std::vector<drain_record> drains;
+  std::vector<drain_refusal> drain_refusals;
   std::vector<life_record> lives;
   std::vector<outage_record> outages;
   /// Crashes of backend servers that a request caused.
