--- a/bench/slope_control.cc
+++ b/bench/slope_control.cc
@@ -100,8 +100,9 @@
 
     const double before_restart = static_cast<double>(BytesSent(fleet)) / size;
     // The counter of the restarted instance starts at zero again.
-    const auto lost = static_cast<double>(fleet.instances[members / 2]->bytes_sent) / size;
-    membership::Restart(fleet, members / 2);
+    const std::size_t restarted = members / 2;
+    const auto lost = static_cast<double>(fleet.instances[restarted]->bytes_sent) / size;
+    membership::Restart(fleet, restarted);
     constexpr double kRestartSpan = 60;
     membership::Run(fleet, seconds(60));
     restart_bytes.push_back({size, static_cast<double>(BytesSent(fleet)) / size + lost - before_restart -
