--- a/core/base/strong_id.h
+++ b/core/base/strong_id.h
@@ -61,7 +61,7 @@
   incarnation_id incarnation;
 
   friend bool operator==(const instance_ref&, const instance_ref&) = default;
-  friend auto operator<=>(const instance_ref&, const instance_ref&) = default;
+  friend auto operator<=>(const instance_ref&, const instance_ref&) = default;  // NOLINT(modernize-use-nullptr)
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/core/entry/start.cc
+++ b/core/entry/start.cc
@@ -37,7 +37,8 @@
   constexpr double kFloorFactor = 2.5;
   const double capacity = SlotCapacity(*query.config, *query.snapshot);
   const auto instances = static_cast<double>(ctx.members.members.size() + 1);
-  limit.limit = kFirstFactor * capacity;
+  limit.first = kFirstFactor * capacity;
+  limit.limit = limit.first;
   limit.floor = std::max(1.0, kFloorFactor * capacity / instances);
 }
 
--- a/core/routing/admission.cc
+++ b/core/routing/admission.cc
@@ -82,6 +82,10 @@
   } else if (!overloaded && limit.refused_since > 0 && HasRoom(worst, healthy)) {
     limit.limit = limit.limit * kIncrease + kSmallestStep;
   }
+  // A limit that an overload left behind would refuse the first burst after it.
+  const bool idle = !overloaded && limit.refused_since == 0 && worst.delayed_share < kIdleShare;
+  if (idle && limit.limit < limit.first)
+    limit.limit = std::min(limit.first, limit.limit * kFastIncrease + kSmallestStep);
   limit.limit = std::max(limit.limit, limit.floor);
   limit.peak = limit.weight_in_flight;
   limit.refused_since = 0;
--- a/core/routing/admission.h
+++ b/core/routing/admission.h
@@ -12,6 +12,8 @@
 struct admission_limit {
   /// Zero until the first query sets it from the configured slots.
   double limit = 0;
+  /// The limit that the first query set. An idle limit returns to it.
+  double first = 0;
   /// The limit does not fall below it. If all entries are at their floor, calls wait for about two call times.
   double floor = 1;
   /// Adjustment periods in a row with a standing queue.
@@ -21,7 +23,7 @@
   /// Highest weight in flight since the last adjustment.
   double peak = 0;
   base::time_point adjusted{};
-  /// No refusal since the last adjustment means that the limit does not bind and need not grow.
+  /// No refusal since the last adjustment means that the limit does not bind and need not grow above `first`.
   std::uint32_t refused_since = 0;
   std::uint64_t admitted = 0;
   std::uint64_t refused = 0;
--- a/tests/core/routing/policies_test.cc
+++ b/tests/core/routing/policies_test.cc
@@ -115,5 +115,19 @@
   CHECK(limit.weight_in_flight == 0);
 }
 
+// Guards against a limit that an overload left behind and that refuses a burst long after it.
+TEST_CASE("an idle admission limit returns to its first value") {
+  admission_limit limit;
+  limit.first = 20;
+  limit.limit = 1.6;
+  const queue_state idle{};
+  base::time_point now{std::chrono::seconds(1)};
+  for (int period = 0; period < 20; ++period) {
+    now += std::chrono::seconds(1);
+    AdjustLimit(limit, idle, std::chrono::milliseconds(5), now);
+  }
+  CHECK(limit.limit == 20);
+}
+
 }  // namespace
 }  // namespace limpetrouter::core::routing
--- a/tests/scenario/checkers.cc
+++ b/tests/scenario/checkers.cc
@@ -304,7 +304,9 @@
   std::map<std::uint64_t, base::time_point> accepted;
   for (const revision_change& change : trace.revisions)
     accepted.try_emplace(change.revision, change.at);
-  for (const auto& [revision, at] : accepted) {
+  for (const auto& entry : accepted) {
+    const std::uint64_t revision = entry.first;
+    const base::time_point at = entry.second;
     const base::time_point due = at + kConfigurationBound;
     if (revision == 0 || due > world.now()) continue;
     for (const life_record& life : trace.lives) {
@@ -315,8 +317,8 @@
       if (excused) continue;
       ++report.checked;
       const auto& changes = by_instance[life.instance];
-      const bool in_force = std::any_of(changes.begin(), changes.end(), [&, r = revision](const revision_change* c) {
-        return c->revision >= r && c->at <= due;
+      const bool in_force = std::any_of(changes.begin(), changes.end(), [&](const revision_change* c) {
+        return c->revision >= revision && c->at <= due;
       });
       if (!in_force) {
         report.violations.push_back(fmt::format("revision {} accepted at {:.3f} s is not in force at {} after 4 s",
--- a/tests/scenario/script.cc
+++ b/tests/scenario/script.cc
@@ -31,8 +31,8 @@
 
 /// Number with one of the units us, ms, s.
 base::duration ParseDuration(const std::string& text) {
-  static const std::vector<std::pair<std::string, double>> kUnits = {{"us", 1}, {"ms", 1e3}, {"s", 1e6}};
-  for (const auto& [unit, factor] : kUnits) {
+  static const std::vector<std::pair<std::string, double>> units = {{"us", 1}, {"ms", 1e3}, {"s", 1e6}};
+  for (const auto& [unit, factor] : units) {
     if (text.size() <= unit.size() || text.compare(text.size() - unit.size(), unit.size(), unit) != 0) continue;
     const std::string number = text.substr(0, text.size() - unit.size());
     if (number.find_first_not_of("0123456789.") != std::string::npos) continue;
@@ -169,7 +169,7 @@
 using action_function = void (*)(world&, const words&);
 
 const std::map<std::string, action_function>& Actions() {
-  static const std::map<std::string, action_function> kActions = {
+  static const std::map<std::string, action_function> actions = {
       {"kill", [](world& w, const words& l) { ForInstances(w, l, [&](const auto& id) { w.Kill(id); }); }},
       {"start", [](world& w, const words& l) { ForInstances(w, l, [&](const auto& id) { w.Start(id); }); }},
       {"leave", [](world& w, const words& l) { ForInstances(w, l, [&](const auto& id) { w.Leave(id); }); }},
@@ -220,7 +220,7 @@
       {"list-lag", [](world& w, const words& l) { w.SetListLag(ParseDuration(Word(l, 1, "duration"))); }},
       {"publish", RunPublish},
   };
-  return kActions;
+  return actions;
 }
 
 /// An operation with its comparison: measured value against a bound.
--- a/tests/scenario/world.cc
+++ b/tests/scenario/world.cc
@@ -20,6 +20,8 @@
 
 /// A stream message to a process that does not listen fails after this long.
 constexpr base::duration kRefuseDelay = std::chrono::microseconds(400);
+/// A watch of the configuration service looks for a newer revision this often.
+constexpr base::duration kWatchStep = std::chrono::milliseconds(20);
 
 bool Matches(const std::string& pattern, const std::string& text) {
   if (pattern == "*") return true;
@@ -148,17 +150,21 @@
   Schedule(base::duration(base::NextBelow(random_, 5000)), [this, instance, life = p.life] { Tick(instance, life); });
 }
 
+life_record& world::LastLife(const std::string& instance) {
+  const auto life = std::find_if(trace_.lives.rbegin(), trace_.lives.rend(),
+                                 [&instance](const life_record& l) { return l.instance.id.value == instance; });
+  return *life;
+}
+
 void world::Kill(const std::string& instance) {
   process& p = ProcessOf(instance);
   if (!p.running) return;
   p.running = false;
-  for (auto life = trace_.lives.rbegin(); life != trace_.lives.rend(); ++life) {
-    if (life->instance.id.value != instance) continue;
-    life->ended = now_;
-    life->killed = !p.core->exited;
-    break;
-  }
-  for (const auto& [handle, request] : p.requests_by_handle) {
+  life_record& life = LastLife(instance);
+  life.ended = now_;
+  life.killed = !p.core->exited;
+  for (const auto& pending : p.requests_by_handle) {
+    const std::size_t request = pending.second;
     // The caller sees its connection close.
     ++trace_.requests[request].lost_connections;
     trace_.requests[request].losses.push_back({now_, base::instance_id(instance), true});
@@ -173,11 +179,7 @@
 void world::Leave(const std::string& instance) {
   process& p = ProcessOf(instance);
   if (!p.running) return;
-  for (auto life = trace_.lives.rbegin(); life != trace_.lives.rend(); ++life) {
-    if (life->instance.id.value != instance) continue;
-    life->leave = now_;
-    break;
-  }
+  LastLife(instance).leave = now_;
   list_history_[instance].push_back({now_, true, true});
   Deliver(instance, p.life, io::leave_requested{});
 }
@@ -372,7 +374,6 @@
 
 void world::ReadConfiguration(process& p, const io::read_configuration& read) {
   constexpr base::duration kServiceTime = std::chrono::milliseconds(2);
-  constexpr base::duration kWatchStep = std::chrono::milliseconds(20);
   ++trace_.platform_calls_by_second[std::chrono::duration_cast<std::chrono::seconds>(now_.time_since_epoch()).count()];
   const std::string id = p.spec.id;
   const std::uint64_t life = p.life;
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -132,6 +132,7 @@
 
   void Schedule(base::duration delay, std::function<void()> action);
   process& ProcessOf(const std::string& instance);
+  life_record& LastLife(const std::string& instance);
   void Tick(const std::string& instance, std::uint64_t life);
   void Deliver(const std::string& instance, std::uint64_t life, core::io::event event);
   void Execute(process& p, core::io::command_list& commands);
--- a/tests/scenario/world_backend.cc
+++ b/tests/scenario/world_backend.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr base::duration kRestartTime = std::chrono::seconds(2);
+constexpr base::duration kProbeTimeout = std::chrono::seconds(1);
 constexpr base::duration kColdTime = std::chrono::seconds(3);
 constexpr std::string_view kCrashMarker = "crash-marker";
 
@@ -273,7 +274,6 @@
   trace_.peak_connections = std::max<std::uint64_t>(trace_.peak_connections, total);
   if (total > server.connection_limit) ++trace_.connection_limit_violations;
   const base::duration delay = Delay(p.spec.data_centre, server.data_centre);
-  constexpr base::duration kProbeTimeout = std::chrono::seconds(1);
   Schedule(reachable ? delay : kProbeTimeout, [this, id, instance, life, delay, reachable] {
     fake_backend& probed = backend(id);
     io::backend_probe_ended ended;
