--- a/tests/standins/generate_deployment.cc
+++ b/tests/standins/generate_deployment.cc
@@ -340,10 +340,6 @@
 }  // namespace limpetrouter::tests::standins
 
 int main(int argc, char** argv) {
-  try {
-    return limpetrouter::tests::standins::Run(argc, argv);
-  } catch (const std::exception& failure) {
-    fmt::print(stderr, "generate_deployment: {}\n", failure.what());
-    return 1;
-  }
+  namespace standins = limpetrouter::tests::standins;
+  return standins::RunReported("generate_deployment", [&] { return standins::Run(argc, argv); });
 }
--- a/tests/standins/options.cc
+++ b/tests/standins/options.cc
@@ -1,6 +1,7 @@
 #include "tests/standins/options.h"
 
 #include <cstdlib>
+#include <exception>
 
 #include <fmt/format.h>
 #include <popt.h>
@@ -45,4 +46,13 @@
   return rest;
 }
 
+int RunReported(const char* program, const std::function<int()>& run) {
+  try {
+    return run();
+  } catch (const std::exception& failure) {
+    fmt::print(stderr, "{}: {}\n", program, failure.what());
+    return 1;
+  }
+}
+
 }  // namespace limpetrouter::tests::standins
--- a/tests/standins/options.h
+++ b/tests/standins/options.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -19,4 +20,7 @@
 /// Parses the command line with popt and returns the other arguments. Prints the usage and exits on an error.
 std::vector<std::string> ParseOptions(int argc, char** argv, const std::vector<option>& options);
 
+/// Result of `run`, or 1 after an exception, which is printed with the name of the program.
+int RunReported(const char* program, const std::function<int()>& run);
+
 }  // namespace limpetrouter::tests::standins
--- a/tests/standins/standin_backend.cc
+++ b/tests/standins/standin_backend.cc
@@ -161,10 +161,6 @@
 }  // namespace limpetrouter::tests::standins
 
 int main(int argc, char** argv) {
-  try {
-    return limpetrouter::tests::standins::Run(argc, argv);
-  } catch (const std::exception& failure) {
-    fmt::print(stderr, "standin_backend: {}\n", failure.what());
-    return 1;
-  }
+  namespace standins = limpetrouter::tests::standins;
+  return standins::RunReported("standin_backend", [&] { return standins::Run(argc, argv); });
 }
--- a/tests/standins/standin_platform.cc
+++ b/tests/standins/standin_platform.cc
@@ -263,10 +263,6 @@
 }  // namespace limpetrouter::tests::standins
 
 int main(int argc, char** argv) {
-  try {
-    return limpetrouter::tests::standins::Run(argc, argv);
-  } catch (const std::exception& failure) {
-    fmt::print(stderr, "standin_platform: {}\n", failure.what());
-    return 1;
-  }
+  namespace standins = limpetrouter::tests::standins;
+  return standins::RunReported("standin_platform", [&] { return standins::Run(argc, argv); });
 }
