--- a/core/base/error_kind.cc
+++ b/core/base/error_kind.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr auto kNo = executed_state::kNo;
+constexpr auto kYes = executed_state::kYes;
 
 constexpr auto kUnknown = executed_state::kUnknown;
 
@@ -15,6 +16,7 @@
     {error_kind::kUnknownCollection, "unknown_collection", 404, kNo, false, "no such collection is configured"},
     {error_kind::kUnknownOperation, "unknown_operation", 404, kNo, false, "the collection has no such operation"},
     {error_kind::kUnknownSnapshot, "unknown_snapshot", 503, kNo, false, "the collection has no servable snapshot"},
+    {error_kind::kUnknownRoute, "unknown_route", 404, kNo, false, "no route of this host has the path"},
     {error_kind::kNoConfiguration, "no_configuration", 503, kNo, false, "no configuration has been accepted yet"},
     {error_kind::kPermitRequired, "permit_required", 400, kNo, false, "a non-repeatable request needs a permit"},
     {error_kind::kPermitInvalid, "permit_invalid", 400, kNo, false, "the permit is malformed or was never issued"},
@@ -39,6 +41,8 @@
     {error_kind::kBackendWrongShard, "backend_wrong_shard", 503, kNo, true,
      "the backend server does not hold the shard"},
     {error_kind::kBackendRejected, "backend_rejected", 400, kNo, false, "the backend server rejected the request"},
+    {error_kind::kBackendReplaced, "backend_replaced", 503, kNo, true, "another backend server has the address"},
+    {error_kind::kBackendFailed, "backend_failed", 502, kYes, true, "the backend server failed to serve the request"},
     {error_kind::kConnectFailed, "connect_failed", 503, kNo, true, "no connection to the backend server"},
     {error_kind::kConnectionLost, "connection_lost", 502, kUnknown, true, "the connection broke during the call"},
     {error_kind::kAnswerTruncated, "answer_truncated", 502, kUnknown, true, "the answer was cut short"},
--- /dev/null
+++ b/core/forwarding/forwarding.cc
@@ -0,0 +1,161 @@
+#include "core/forwarding/forwarding.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "core/forwarding/requests.h"
+#include "core/forwarding/retry_budget.h"
+
+namespace limpetrouter::core::forwarding {
+namespace {
+
+/// How long callers keep an address answer: short, so that they soon leave an instance that shuts down.
+constexpr base::duration kAddressValidity = std::chrono::seconds(2);
+constexpr std::size_t kMaxAddresses = 64;
+/// Left of the shutdown grace for the last answers and the end of the process.
+constexpr base::duration kShutdownMargin = std::chrono::milliseconds(700);
+/// Callers that asked just before the shutdown still come until their answer has expired.
+constexpr base::duration kAddressMargin = std::chrono::milliseconds(500);
+constexpr base::duration kCleanUpInterval = std::chrono::milliseconds(200);
+
+void LogChanges(instance::context& ctx, const std::vector<server_change>& changes) {
+  for (const server_change& change : changes) {
+    instance::LogDecision(ctx, "backend_server",
+                          {{"backend_server", change.server.value},
+                           {"change", change.what},
+                           {"revision", std::to_string(change.revision)}});
+  }
+}
+
+void ApplyRouting(forwarding_tables& tables, instance::context& ctx, const routing_table_ptr& routing,
+                  std::uint64_t revision) {
+  if (routing == nullptr) return;
+  const std::uint64_t current = tables.routing == nullptr ? 0 : tables.routing->version;
+  if (tables.routing != nullptr && routing->version <= current) return;
+  tables.routing = routing;
+  tables.routing_since = ctx.now;
+  instance::LogDecision(ctx, "configuration",
+                        {{"version", std::to_string(routing->version)},
+                         {"replaces", std::to_string(current)},
+                         {"revision", std::to_string(revision)},
+                         {"routes", std::to_string(routing->routes.size())}});
+  ctx.out.emplace_back(io::apply_caller_limits{routing->limits});
+}
+
+std::int64_t AgeMs(base::time_point since, base::time_point now) {
+  return since == base::time_point{} ? -1 : base::ToMilliseconds(now - since);
+}
+
+}  // namespace
+
+void HandlePublished(forwarding_tables& tables, instance::context& ctx, const io::published_read& event) {
+  const published_changes& changes = event.changes;
+  NoteRead(tables.store, ctx, changes);
+  for (const std::string& reason : changes.refused)
+    instance::LogDecision(ctx, "entry_refused", {{"reason", reason}});
+  ApplyRouting(tables, ctx, changes.routing, changes.revision);
+  if (changes.kind == published_kind::kServers) LogChanges(ctx, ApplyRecords(tables.servers, changes, ctx.now));
+}
+
+void HandlePublishedFailed(forwarding_tables& tables, instance::context& ctx, const io::published_read_failed& event) {
+  NoteReadFailed(tables.store, ctx, event.failed);
+  if (event.failed.kind == published_kind::kServers) NoteContactLost(tables.servers, ctx.now);
+}
+
+void HandleEntryAddresses(const forwarding_tables& tables, instance::context& ctx,
+                          const io::entry_addresses_requested& event) {
+  io::reply_entry_addresses reply;
+  reply.handle = event.handle;
+  reply.validity = std::min(kAddressValidity, tables.bounds.max_address_validity);
+  std::vector<std::string> others;
+  if (!ctx.leaving && IsReady(tables)) reply.addresses.push_back(ctx.members.self.http_address);
+  for (const auto& [id, entry] : ctx.members.members) {
+    const bool usable = entry.info.state == peer::member_state::kAlive && entry.info.member.incarnation.value != 0;
+    if (!usable || entry.info.http_address.empty()) continue;
+    const bool near = entry.info.data_centre == event.data_centre;
+    (near ? reply.addresses : others).push_back(entry.info.http_address);
+  }
+  for (std::string& address : others)
+    reply.addresses.push_back(std::move(address));
+  if (reply.addresses.size() > kMaxAddresses) reply.addresses.resize(kMaxAddresses);
+  ctx.out.emplace_back(std::move(reply));
+}
+
+void HandlePause(forwarding_tables& tables, instance::context& ctx) { ReadAgain(tables.store, ctx.now); }
+
+void RunForwarding(forwarding_tables& tables, instance::context& ctx) {
+  if (!tables.enabled) return;
+  RunReaders(tables.store, ctx);
+  RunRequests(tables, ctx);
+  const bool ready = IsReady(tables) && !ctx.leaving;
+  if (ready != tables.reported_ready) ctx.out.emplace_back(io::report_readiness{ready});
+  tables.reported_ready = ready;
+  if (ctx.now < tables.next_cleanup) return;
+  tables.next_cleanup = ctx.now + kCleanUpInterval;
+  UpdateFleetSize(tables, ctx);
+  LogChanges(ctx, ExpireMissing(tables.servers, ctx.now));
+}
+
+bool IsReady(const forwarding_tables& tables) { return tables.routing != nullptr && tables.servers.known; }
+
+bool IsIdle(const forwarding_tables& tables) { return tables.requests.empty(); }
+
+base::duration LeaveTime(const forwarding_tables& tables) {
+  return std::min(kAddressValidity, tables.bounds.max_address_validity) + kAddressMargin;
+}
+
+base::duration MaxLeaveTime(const forwarding_tables& tables) { return tables.bounds.shutdown_grace - kShutdownMargin; }
+
+nlohmann::json ReportRouting(const forwarding_tables& tables, base::time_point now) {
+  nlohmann::json report = {{"version", tables.routing == nullptr ? 0 : tables.routing->version},
+                           {"age_ms", AgeMs(tables.routing_since, now)},
+                           {"routes", tables.routing == nullptr ? 0 : tables.routing->routes.size()},
+                           {"instances", tables.fleet_size}};
+  for (const published_kind kind : {published_kind::kRouting, published_kind::kServers}) {
+    const reader& each = tables.store.readers[kind == published_kind::kRouting ? 0 : 1];
+    report["reads"][std::string(ToString(kind))] = {
+        {"revision", each.revision}, {"last_success_ms", AgeMs(each.last_success, now)}, {"failures", each.failures}};
+  }
+  return report;
+}
+
+nlohmann::json ReportServers(const forwarding_tables& tables, base::time_point now) {
+  nlohmann::json report = nlohmann::json::array();
+  for (const auto& [service, ids] : tables.servers.by_service) {
+    for (const base::backend_server_id& id : ids) {
+      const server& each = tables.servers.servers.at(id);
+      report.push_back({{"id", id.value},
+                        {"service", service.value},
+                        {"address", each.record.address},
+                        {"data_centre", each.record.data_centre.value},
+                        {"draining", each.record.draining},
+                        {"revision", each.record.revision},
+                        {"entry_age_ms", AgeMs(each.seen, now)},
+                        {"missing_ms", AgeMs(each.missing_since, now)},
+                        {"misdirected", each.misdirected},
+                        {"ejected_for_ms", std::max<std::int64_t>(0, base::ToMilliseconds(each.ejected_until - now))},
+                        {"running", each.running.size()},
+                        {"slowness", each.slowness},
+                        {"failure_share", each.failure_share},
+                        {"load_age_ms", AgeMs(each.load_at, now)}});
+    }
+  }
+  return report;
+}
+
+nlohmann::json ReportRepeats(const forwarding_tables& tables, base::time_point now) {
+  nlohmann::json report = nlohmann::json::array();
+  for (const auto& [service, budget] : tables.budgets) {
+    const routing::budget_use use = routing::RecentUse(budget, now);
+    report.push_back({{"service", service.value},
+                      {"requests", use.calls},
+                      {"repeated", use.extra},
+                      {"denied", budget.denied},
+                      {"allowance", budget.allowance}});
+  }
+  return report;
+}
+
+}  // namespace limpetrouter::core::forwarding
--- /dev/null
+++ b/core/forwarding/requests.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "core/forwarding/request_table.h"
+#include "core/instance/context.h"
+#include "core/io/event.h"
+
+namespace limpetrouter::core::forwarding {
+
+/// Takes a caller's request: refuses it, or sends it to backend servers.
+void AcceptRequest(forwarding_tables& tables, instance::context& ctx, const io::request_received& event);
+/// The caller has gone. Idempotent work ends; a request that must not repeat runs on, because its effect may be wanted.
+void AbandonRequest(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle);
+/// A call has ended: takes its answer, tries another backend server, or gives the request up.
+void EndCall(forwarding_tables& tables, instance::context& ctx, const io::server_call_ended& event);
+/// Sends hedges and waiting parts, ends requests whose time has come, and cancels calls that linger too long.
+void RunRequests(forwarding_tables& tables, instance::context& ctx);
+
+/// Latency that half of the route's recent calls kept within, or a guess from its target.
+base::duration UsualLatency(const forwarding_tables& tables, const route& route);
+
+}  // namespace limpetrouter::core::forwarding
--- /dev/null
+++ b/core/forwarding/routing_table.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/base/strong_id.h"
+#include "core/base/time.h"
+
+namespace limpetrouter::core::forwarding {
+
+/// How often a request may run.
+enum class repetition : std::uint8_t { kIdempotent, kAtMostOnce };
+
+struct weighted_service {
+  base::service_id service;
+  std::uint32_t weight = 1;
+};
+
+/// Where the requests of a host and path prefix go.
+struct route {
+  std::string name;
+  std::string host;
+  /// Begins and ends with a slash.
+  std::string prefix;
+  repetition repeat = repetition::kAtMostOnce;
+  /// The longest time that a caller is kept waiting.
+  base::duration timeout = std::chrono::seconds(10);
+  /// An answer within this time has its full use for the caller.
+  base::duration target_latency = std::chrono::seconds(1);
+  /// 0 is the most urgent.
+  std::uint32_t priority = 0;
+  /// Most backend servers that one request may be sent to; for a sharded route, for each shard.
+  std::uint32_t max_attempts = 1;
+  /// Services that share the requests. Empty for a sharded route.
+  std::vector<weighted_service> split;
+  /// Services that each hold a part of the index. Empty for a plain route.
+  std::vector<base::service_id> shards;
+  /// For a sharded route: the greatest records of all parts that make up the answer, and their size.
+  std::uint32_t merged_records = 0;
+  std::uint32_t record_bytes = 0;
+  /// Smallest share of the shards that makes an answer.
+  double minimum_coverage = 1;
+};
+
+struct service_rules {
+  /// Connections that a backend server accepts from all callers together; 0 if not stated.
+  std::uint32_t max_connections = 0;
+};
+
+/// What a caller's request may hold.
+struct caller_limits {
+  std::size_t max_header_bytes = 16 * 1024;
+  std::size_t max_body_bytes = 256 * 1024;
+};
+
+/// One version of the operators' configuration.
+struct routing_table {
+  std::uint64_t version = 0;
+  std::vector<route> routes;
+  std::map<base::service_id, service_rules> services;
+  caller_limits limits;
+};
+
+using routing_table_ptr = std::shared_ptr<const routing_table>;
+
+/// The route of the host with the longest prefix of `path`, or null.
+const route* FindRoute(const routing_table& table, std::string_view host, std::string_view path);
+
+/// Takes services in turn so that each gets its share of any run of requests (smooth weighted round robin).
+struct split_turn {
+  std::vector<std::int64_t> credit;
+};
+
+std::size_t TakeTurn(split_turn& turn, const std::vector<weighted_service>& split);
+
+}  // namespace limpetrouter::core::forwarding
--- /dev/null
+++ b/core/forwarding/server_choice.cc
@@ -0,0 +1,175 @@
+#include "core/forwarding/server_choice.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace limpetrouter::core::forwarding {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A server of another data centre must promise to be this much of a usual call faster: half of the slots busy more.
+constexpr double kOtherDataCentreCost = 0.5;
+/// A report of the work of other callers loses its weight within this time.
+constexpr double kLoadLifetimeUs = 400'000;
+/// Without new samples a slow server is taken for a usual one again after about this time, and gets a call.
+constexpr double kSlownessLifetimeUs = 4'000'000;
+constexpr double kFailureLifetimeUs = 3'000'000;
+/// Weight of one sample.
+constexpr double kSampleWeight = 0.25;
+/// A single slow call must not condemn a server: pauses pass.
+constexpr double kMaxSample = 6;
+/// A call counts as overdue after this multiple of its usual time.
+constexpr double kOverdueFactor = 2;
+constexpr double kMaxOverdue = 8;
+/// Cost of a call that fails with certainty, in usual calls.
+constexpr double kFailureCost = 12;
+/// A server that is still warming up, see the register.
+constexpr double kColdCost = 0.6;
+/// Entry is missing from the register: the server has ended, or its entry lapsed.
+constexpr double kMissingCost = 20;
+constexpr double kTrialCost = 3;
+constexpr std::uint32_t kEjectAfterFailures = 3;
+constexpr base::duration kFirstEjection = milliseconds(400);
+constexpr base::duration kMaxEjection = milliseconds(3'000);
+
+double Decay(base::time_point since, base::time_point now, double lifetime_us) {
+  return std::exp(-static_cast<double>((now - since).count()) / lifetime_us);
+}
+
+double SlownessOf(const server& each, base::time_point now) {
+  return 1 + (each.slowness - 1) * Decay(each.slowness_at, now, kSlownessLifetimeUs);
+}
+
+double FailureShareOf(const server& each, base::time_point now) {
+  return each.failure_share * Decay(each.failure_at, now, kFailureLifetimeUs);
+}
+
+/// How late the oldest running call is, in usual times; 0 if it is not overdue.
+double OverdueOf(const server& each, base::time_point now) {
+  double worst = 0;
+  for (const running_call& call : each.running) {
+    const auto expected = static_cast<double>(std::max<base::duration::rep>(call.expected.count(), 1'000));
+    worst = std::max(worst, static_cast<double>((now - call.started).count()) / expected);
+  }
+  return worst <= kOverdueFactor ? 0 : std::min(worst, kMaxOverdue);
+}
+
+bool IsCold(const server& each, base::time_point now) { return now - each.seen < each.record.cold_left; }
+
+double CostOf(const server& each, const choice_rules& rules, base::time_point now) {
+  const double work = EstimateWork(each, now);
+  const auto slots = static_cast<double>(std::max<std::uint32_t>(each.record.slots, 1));
+  const double queue = std::max(0.0, work + 1 - slots) / slots;
+  double cost = SlownessOf(each, now) * (1 + queue) + work / slots;
+  cost += OverdueOf(each, now) + kFailureCost * FailureShareOf(each, now);
+  if (IsCold(each, now)) cost += kColdCost;
+  if (each.record.data_centre != rules.own_data_centre) cost += kOtherDataCentreCost;
+  if (each.missing_since != base::time_point{}) cost += kMissingCost;
+  if (each.ejections > 0) cost += rules.avoid_trial ? 2 * kTrialCost : kTrialCost;
+  return cost;
+}
+
+bool IsUsable(const server& each, const choice_rules& rules, base::time_point now) {
+  if (each.record.draining || each.misdirected || each.ejected_until > now) return false;
+  const auto& excluded = *rules.excluded;
+  return std::find(excluded.begin(), excluded.end(), each.record.id) == excluded.end();
+}
+
+void Eject(server& each, base::time_point now) {
+  const base::duration time = kFirstEjection * (std::int64_t{1} << std::min<std::uint32_t>(each.ejections, 4));
+  each.ejected_until = now + std::min(time, kMaxEjection);
+  ++each.ejections;
+  each.failures_in_row = 0;
+}
+
+void AddFailureSample(server& each, double sample, base::time_point now) {
+  const double share = FailureShareOf(each, now);
+  each.failure_share = share + kSampleWeight * (sample - share);
+  each.failure_at = now;
+}
+
+void AddSlownessSample(server& each, double sample, base::time_point now) {
+  const double slowness = SlownessOf(each, now);
+  each.slowness = slowness + kSampleWeight * (std::min(sample, kMaxSample) - slowness);
+  each.slowness_at = now;
+}
+
+}  // namespace
+
+double EstimateWork(const server& server, base::time_point now) {
+  const double others = server.other_work * Decay(server.load_at, now, kLoadLifetimeUs);
+  return others + static_cast<double>(server.running.size());
+}
+
+choice ChooseServer(const server_table& table, const base::service_id& service, const choice_rules& rules,
+                    base::time_point now, base::random_source& random) {
+  choice best;
+  std::uint64_t ties = 0;
+  for (const base::backend_server_id& id : ServersOf(table, service)) {
+    const server& each = table.servers.at(id);
+    if (!IsUsable(each, rules, now)) continue;
+    // After an ejection one call at a time shows whether the server works again.
+    const std::uint32_t room = each.ejections > 0 ? 1 : rules.max_running;
+    const bool full = each.running.size() >= room;
+    const bool busy =
+        rules.needs_free_slot && (EstimateWork(each, now) >= each.record.slots || OverdueOf(each, now) > 0);
+    if (full || busy) {
+      if (best.state == choice_state::kNone) best.state = choice_state::kFull;
+      continue;
+    }
+    const double cost = CostOf(each, rules, now);
+    constexpr double kTie = 0.01;
+    const bool better = best.state != choice_state::kChosen || cost < best.cost - kTie;
+    if (!better && cost > best.cost + kTie) continue;
+    ties = better ? 1 : ties + 1;
+    if (!better && base::NextBelow(random, ties) != 0) continue;
+    best = {choice_state::kChosen, id, cost};
+  }
+  return best;
+}
+
+void NoteCallStart(server& server, const running_call& call) { server.running.push_back(call); }
+
+void NoteCallEnd(server& server, call_id id, call_verdict verdict, base::duration elapsed,
+                 const std::optional<server_load>& load, base::time_point now) {
+  const auto found =
+      std::find_if(server.running.begin(), server.running.end(), [id](const running_call& c) { return c.id == id; });
+  if (found == server.running.end()) return;
+  const auto expected = static_cast<double>(std::max<base::duration::rep>(found->expected.count(), 1'000));
+  const double slowness = static_cast<double>(elapsed.count()) / expected;
+  server.running.erase(found);
+  if (load.has_value()) {
+    const double total = load->running + load->waiting;
+    server.other_work = std::max(0.0, total - 1 - static_cast<double>(server.running.size()));
+    server.load_at = now;
+  }
+  switch (verdict) {
+    case call_verdict::kServed:
+      AddSlownessSample(server, slowness, now);
+      AddFailureSample(server, 0, now);
+      server.failures_in_row = 0;
+      server.ejections = 0;
+      break;
+    case call_verdict::kOverdue:
+      // A call that was given up is a lower bound of its time.
+      if (slowness > SlownessOf(server, now)) AddSlownessSample(server, slowness, now);
+      break;
+    case call_verdict::kUnreachable:
+      AddFailureSample(server, 1, now);
+      Eject(server, now);
+      break;
+    case call_verdict::kFailed:
+      AddFailureSample(server, 1, now);
+      if (++server.failures_in_row >= kEjectAfterFailures || server.ejections > 0) Eject(server, now);
+      break;
+    case call_verdict::kRefused:
+      // Full, not broken: the load report says how full.
+      AddFailureSample(server, 0.5, now);
+      break;
+    case call_verdict::kNeutral:
+      break;
+  }
+}
+
+}  // namespace limpetrouter::core::forwarding
--- /dev/null
+++ b/core/forwarding/server_table.cc
@@ -0,0 +1,139 @@
+#include "core/forwarding/server_table.h"
+
+#include <algorithm>
+#include <set>
+
+namespace limpetrouter::core::forwarding {
+namespace {
+
+/// Entries that lapsed while the register was away are back about two seconds after its return.
+constexpr base::duration kLapseTime = std::chrono::milliseconds(2'300);
+/// A gap in the contact makes removals doubtful for this time after it.
+constexpr base::duration kDoubtTime = std::chrono::seconds(3);
+/// More removals than this within a second, and more than a fifth of all servers, look like lapsed entries.
+constexpr std::size_t kPlausibleRemovals = 2;
+constexpr std::size_t kPlausibleShare = 5;
+constexpr base::duration kRemovalWindow = std::chrono::seconds(1);
+
+void Unlist(server_table& table, const server& gone) {
+  const auto found = table.by_service.find(gone.record.service);
+  if (found == table.by_service.end()) return;
+  std::erase(found->second, gone.record.id);
+  if (found->second.empty()) table.by_service.erase(found);
+}
+
+void Erase(server_table& table, const base::backend_server_id& id) {
+  const auto found = table.servers.find(id);
+  if (found == table.servers.end()) return;
+  Unlist(table, found->second);
+  table.servers.erase(found);
+}
+
+bool IsRemovalDoubtful(server_table& table, std::size_t removals, base::time_point now) {
+  std::erase_if(table.recent_removals, [now](base::time_point at) { return now - at > kRemovalWindow; });
+  const std::size_t recent = table.recent_removals.size() + removals;
+  const bool many = recent > kPlausibleRemovals && recent * kPlausibleShare > table.servers.size();
+  return many || now - table.contact_since < kDoubtTime;
+}
+
+void Remove(server_table& table, const base::backend_server_id& id, bool doubtful, base::time_point now,
+            std::vector<server_change>& changes) {
+  const auto found = table.servers.find(id);
+  if (found == table.servers.end()) return;
+  server& gone = found->second;
+  table.recent_removals.push_back(now);
+  // A server that announced its end is not expected back.
+  if (!doubtful || gone.record.draining) {
+    changes.push_back({id, "removed", gone.record.revision});
+    return Erase(table, id);
+  }
+  if (gone.missing_since != base::time_point{}) return;
+  gone.missing_since = now;
+  changes.push_back({id, "missing", gone.record.revision});
+}
+
+void Add(server_table& table, const server_record& record, base::time_point now, std::vector<server_change>& changes) {
+  const auto found = table.servers.find(record.id);
+  if (found == table.servers.end()) {
+    server added;
+    added.record = record;
+    added.seen = added.first_seen = added.slowness_at = added.failure_at = now;
+    table.by_service[record.service].push_back(record.id);
+    table.servers.emplace(record.id, std::move(added));
+    changes.push_back({record.id, record.draining ? "added draining" : "added", record.revision});
+    return;
+  }
+  server& known = found->second;
+  if (record.revision <= known.record.revision && known.missing_since == base::time_point{}) return;
+  // A write of an earlier start that arrives late says nothing about the start that runs.
+  if (record.incarnation < known.record.incarnation) return;
+  const bool restarted = record.incarnation > known.record.incarnation || record.address != known.record.address;
+  const bool drains = record.draining && !known.record.draining;
+  if (record.service != known.record.service) {
+    Unlist(table, known);
+    table.by_service[record.service].push_back(record.id);
+  }
+  known.record = record;
+  known.seen = now;
+  known.missing_since = {};
+  if (restarted) {
+    // Calls of the former start keep running until they end.
+    std::vector<running_call> running = std::move(known.running);
+    known = server{};
+    known.record = record;
+    known.seen = known.first_seen = known.slowness_at = known.failure_at = now;
+    known.running = std::move(running);
+  }
+  if (restarted || drains) changes.push_back({record.id, restarted ? "restarted" : "draining", record.revision});
+}
+
+}  // namespace
+
+std::vector<server_change> ApplyRecords(server_table& table, const published_changes& changes, base::time_point now) {
+  std::vector<server_change> applied;
+  if (changes.whole && changes.revision < table.revision) return applied;
+  if (table.contact_since == base::time_point{}) table.contact_since = now;
+  table.last_contact = now;
+  std::set<base::backend_server_id> listed;
+  for (const server_record& record : changes.servers) {
+    listed.insert(record.id);
+    Add(table, record, now, applied);
+  }
+  std::vector<base::backend_server_id> gone;
+  for (const auto& [id, revision] : changes.removed) {
+    const auto found = table.servers.find(id);
+    if (found != table.servers.end() && found->second.record.revision < revision) gone.push_back(id);
+  }
+  if (changes.whole && table.known) {
+    for (const auto& [id, known] : table.servers) {
+      if (!listed.contains(id) && known.record.revision <= changes.revision) gone.push_back(id);
+    }
+  }
+  const bool doubtful = IsRemovalDoubtful(table, gone.size(), now);
+  for (const base::backend_server_id& id : gone)
+    Remove(table, id, doubtful, now, applied);
+  table.revision = std::max(table.revision, changes.revision);
+  table.known = true;
+  return applied;
+}
+
+void NoteContactLost(server_table& table, base::time_point now) { table.contact_since = now; }
+
+std::vector<server_change> ExpireMissing(server_table& table, base::time_point now) {
+  std::vector<server_change> expired;
+  for (const auto& [id, each] : table.servers) {
+    if (each.missing_since == base::time_point{} || now - each.missing_since < kLapseTime) continue;
+    expired.push_back({id, "gone", each.record.revision});
+  }
+  for (const server_change& each : expired)
+    Erase(table, each.server);
+  return expired;
+}
+
+const std::vector<base::backend_server_id>& ServersOf(const server_table& table, const base::service_id& service) {
+  static const std::vector<base::backend_server_id> none;
+  const auto found = table.by_service.find(service);
+  return found == table.by_service.end() ? none : found->second;
+}
+
+}  // namespace limpetrouter::core::forwarding
--- a/core/instance/instance.cc
+++ b/core/instance/instance.cc
@@ -5,6 +5,8 @@
 #include <variant>
 
 #include "core/entry/entry.h"
+#include "core/forwarding/forwarding.h"
+#include "core/forwarding/requests.h"
 #include "core/gather/gather.h"
 #include "core/instance/context.h"
 #include "core/membership/membership.h"
@@ -99,6 +101,18 @@
           membership::HandleConfigurationReadFailed(instance.membership, ctx, e);
         } else if constexpr (std::is_same_v<event_type, io::instance_list_read>) {
           membership::HandleInstanceList(instance.membership, ctx, e);
+        } else if constexpr (std::is_same_v<event_type, io::request_received>) {
+          forwarding::AcceptRequest(instance.forwarding, ctx, e);
+        } else if constexpr (std::is_same_v<event_type, io::request_abandoned>) {
+          forwarding::AbandonRequest(instance.forwarding, ctx, e.handle);
+        } else if constexpr (std::is_same_v<event_type, io::server_call_ended>) {
+          forwarding::EndCall(instance.forwarding, ctx, e);
+        } else if constexpr (std::is_same_v<event_type, io::entry_addresses_requested>) {
+          forwarding::HandleEntryAddresses(instance.forwarding, ctx, e);
+        } else if constexpr (std::is_same_v<event_type, io::published_read>) {
+          forwarding::HandlePublished(instance.forwarding, ctx, e);
+        } else if constexpr (std::is_same_v<event_type, io::published_read_failed>) {
+          forwarding::HandlePublishedFailed(instance.forwarding, ctx, e);
         } else {
           static_assert(std::is_same_v<event_type, io::leave_requested>);
           membership::HandleLeave(instance.membership, ctx);
@@ -133,11 +147,13 @@
   membership::HandlePause(instance.membership, ctx, gap);
   gather::HandlePause(instance.gather, ctx, gap);
   entry::HandlePause(instance.entry, ctx, gap);
+  forwarding::HandlePause(instance.forwarding, ctx);
 }
 
 /// How long a leaving instance must still accept requests: its address may have been handed out just before the last
 /// peer learnt that it leaves.
 base::duration LeaveGrace(const instance& instance) {
+  if (instance.forwarding.enabled) return forwarding::LeaveTime(instance.forwarding);
   constexpr base::duration kSpreadMargin = std::chrono::seconds(2);
   const config::configuration_ptr& config = instance.membership.store.in_force;
   if (config == nullptr) return kSpreadMargin;
@@ -146,7 +162,13 @@
 
 void CheckExit(instance& instance, base::time_point now, io::command_list& out) {
   if (!instance.leaving || instance.exited || now < instance.leave_at) return;
-  if (!entry::IsIdle(instance.entry, now) || !gather::IsIdle(instance.gather)) return;
+  const bool idle =
+      forwarding::IsIdle(instance.forwarding) && entry::IsIdle(instance.entry, now) && gather::IsIdle(instance.gather);
+  // The platform kills a forwarding instance that outstays its grace, so it ends by itself before.
+  const bool overdue = instance.forwarding.enabled && now >= instance.leave_at +
+                                                                 forwarding::MaxLeaveTime(instance.forwarding) -
+                                                                 forwarding::LeaveTime(instance.forwarding);
+  if (!idle && !overdue) return;
   instance.exited = true;
   out.push_back(io::exit_process{});
 }
@@ -186,6 +208,7 @@
   context ctx = MakeContext(instance, now, out);
   gather::RunGather(instance.gather, ctx);
   entry::RunEntry(instance.entry, ctx);
+  forwarding::RunForwarding(instance.forwarding, ctx);
   DeliverToSelf(instance, now, out, first);
   CheckExit(instance, now, out);
 }
--- a/core/instance/instance.h
+++ b/core/instance/instance.h
@@ -5,6 +5,7 @@
 #include "core/base/random.h"
 #include "core/base/time.h"
 #include "core/entry/entry_tables.h"
+#include "core/forwarding/request_table.h"
 #include "core/gather/gather_tables.h"
 #include "core/io/command.h"
 #include "core/io/event.h"
@@ -24,6 +25,7 @@
   membership::placement placement;
   entry::entry_tables entry;
   gather::gather_tables gather;
+  forwarding::forwarding_tables forwarding;
   base::random_source random;
   base::time_point last_run{};
   base::time_point leave_at{};
--- a/core/io/command.h
+++ b/core/io/command.h
@@ -7,6 +7,7 @@
 
 #include "core/base/strong_id.h"
 #include "core/base/time.h"
+#include "core/forwarding/messages.h"
 #include "core/peer/messages.h"
 
 namespace limpetrouter::core::io {
@@ -88,6 +89,61 @@
 
 struct read_instance_list {};
 
+/// Sends a request to a backend server, exactly as it is. Ends with `io::server_call_ended`.
+struct start_call {
+  forwarding::call_id call;
+  base::backend_server_id server;
+  std::string address;
+  forwarding::request_ptr request;
+  /// Time left for the whole call, which the backend server is told.
+  base::duration remaining{};
+  /// The call must not be lost to a connection that has died unnoticed, so it gets a new one.
+  bool own_connection = false;
+  /// An idle connection is not used again after this time.
+  base::duration max_idle{};
+};
+
+/// Closes the connection of a call.
+struct cancel_call {
+  forwarding::call_id call;
+};
+
+struct reply_forwarded {
+  base::reply_handle handle;
+  forwarding::request_ptr request;
+  forwarding::answer answer;
+};
+
+/// Answers where callers may connect.
+struct reply_entry_addresses {
+  base::reply_handle handle;
+  std::vector<std::string> addresses;
+  base::duration validity{};
+};
+
+/// Reads everything of a kind from the platform. A stale answer is cheaper, and may be seconds old.
+struct list_published {
+  forwarding::published_kind kind = forwarding::published_kind::kServers;
+  bool stale_allowed = true;
+};
+
+/// Waits at the platform for changes after a revision, at most for `wait`.
+struct watch_published {
+  forwarding::published_kind kind = forwarding::published_kind::kServers;
+  std::uint64_t after = 0;
+  base::duration wait{};
+};
+
+/// A new configuration is in force; the servers that face callers take its limits.
+struct apply_caller_limits {
+  forwarding::caller_limits limits;
+};
+
+/// Whether requests can be served has changed.
+struct report_readiness {
+  bool ready = false;
+};
+
 /// A routing or placement decision, or another event that an operator wants to see. One structured line.
 struct log_decision {
   /// Stable name, for example "route", "hedge", "retry", "refuse", "place", "eject", "drain".
@@ -100,7 +156,9 @@
 struct exit_process {};
 
 using command = std::variant<reply_query, reply_addresses, send_peer, call_backend, cancel_backend_call, probe_backend,
-                             read_configuration, read_instance_list, log_decision, exit_process>;
+                             read_configuration, read_instance_list, start_call, cancel_call, reply_forwarded,
+                             reply_entry_addresses, list_published, watch_published, apply_caller_limits,
+                             report_readiness, log_decision, exit_process>;
 using command_list = std::vector<command>;
 
 }  // namespace limpetrouter::core::io
--- a/core/io/event.h
+++ b/core/io/event.h
@@ -9,6 +9,7 @@
 #include "core/base/strong_id.h"
 #include "core/base/time.h"
 #include "core/config/parse.h"
+#include "core/forwarding/messages.h"
 #include "core/peer/messages.h"
 
 namespace limpetrouter::core::io {
@@ -88,11 +89,44 @@
   std::vector<listed_instance> instances;
 };
 
+struct request_received {
+  base::reply_handle handle;
+  forwarding::request_ptr request;
+};
+
+/// The caller of a forwarded request closed its connection.
+struct request_abandoned {
+  base::reply_handle handle;
+};
+
+/// A call that was started with `start_call` has ended, exactly once per call.
+struct server_call_ended {
+  forwarding::call_id call;
+  forwarding::call_result result;
+};
+
+/// A caller asks where it may connect.
+struct entry_addresses_requested {
+  base::reply_handle handle;
+  /// Where the caller is; empty if it did not say.
+  base::data_centre_id data_centre;
+};
+
+struct published_read {
+  forwarding::published_changes changes;
+};
+
+struct published_read_failed {
+  forwarding::published_read_failed failed;
+};
+
 /// SIGTERM.
 struct leave_requested {};
 
-using event = std::variant<query_received, query_abandoned, addresses_requested, peer_message_received,
-                           peer_send_failed, backend_call_ended, backend_probe_ended, configuration_read,
-                           configuration_read_failed, instance_list_read, leave_requested>;
+using event =
+    std::variant<query_received, query_abandoned, addresses_requested, peer_message_received, peer_send_failed,
+                 backend_call_ended, backend_probe_ended, configuration_read, configuration_read_failed,
+                 instance_list_read, request_received, request_abandoned, server_call_ended, entry_addresses_requested,
+                 published_read, published_read_failed, leave_requested>;
 
 }  // namespace limpetrouter::core::io
--- a/shell/core_loop.cc
+++ b/shell/core_loop.cc
@@ -1,5 +1,7 @@
 #include "shell/core_loop.h"
 
+#include <time.h>
+
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
@@ -14,14 +16,18 @@
 using core::base::duration;
 using core::base::time_point;
 
+/// From now until `at` on the core's clock.
 std::chrono::steady_clock::time_point ToSteady(time_point at) {
-  return std::chrono::steady_clock::time_point(at.time_since_epoch());
+  return std::chrono::steady_clock::now() + (at - CoreNow());
 }
 
 }  // namespace
 
 time_point CoreNow() {
-  return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return time_point(std::chrono::seconds(now.tv_sec) +
+                    std::chrono::duration_cast<duration>(std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 struct core_loop::impl {
@@ -86,10 +92,12 @@
   }
 };
 
-core_loop::core_loop(const core::membership::identity& self, std::uint64_t seed, core_ports ports)
+core_loop::core_loop(const core::membership::identity& self, std::uint64_t seed, core_ports ports,
+                     const std::function<void(core::instance::instance&)>& prepare)
     : impl_(std::make_unique<impl>()) {
   const time_point now = CoreNow();
   impl_->instance = core::instance::MakeInstance(self, seed, now);
+  if (prepare) prepare(impl_->instance);
   impl_->ports = std::move(ports);
   impl_->next_tick = now;
 }
--- a/shell/core_loop.h
+++ b/shell/core_loop.h
@@ -11,7 +11,8 @@
 
 namespace limpetrouter::shell {
 
-/// The steady clock as the core sees it.
+/// The clock that the core sees: monotonic, and it goes on while the machine is suspended, so that a deadline that
+/// passed meanwhile is recognised.
 core::base::time_point CoreNow();
 
 struct core_ports {
@@ -28,7 +29,9 @@
   /// Reads the instance on the core thread.
   using task = std::function<void(const core::instance::instance&, core::base::time_point)>;
 
-  core_loop(const core::membership::identity& self, std::uint64_t seed, core_ports ports);
+  /// `prepare` sets up the instance before it runs.
+  core_loop(const core::membership::identity& self, std::uint64_t seed, core_ports ports,
+            const std::function<void(core::instance::instance&)>& prepare = {});
   ~core_loop();
   core_loop(const core_loop&) = delete;
   core_loop& operator=(const core_loop&) = delete;
--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -14,6 +14,7 @@
 #include "shell/backend_client.h"
 #include "shell/core_loop.h"
 #include "shell/endpoints.h"
+#include "shell/forwarding_gateway.h"
 #include "shell/http_server.h"
 #include "shell/json_codec.h"
 #include "shell/log.h"
@@ -32,6 +33,8 @@
 constexpr std::chrono::seconds kAnswerFlushTime{10};
 /// How long the last messages to other instances may take.
 constexpr std::chrono::seconds kPeerFlushTime{2};
+/// Both for a forwarding instance, which the platform kills soon.
+constexpr std::chrono::milliseconds kForwardingFlushTime{200};
 constexpr std::chrono::milliseconds kFlushPoll{5};
 
 /// A restarted instance must have a higher incarnation. Instances have no disk, so the wall clock orders their lives.
@@ -45,7 +48,8 @@
   return {{core::base::instance_id(settings.name), MakeIncarnation()},
           core::base::data_centre_id(settings.data_centre),
           settings.advertise_peer,
-          settings.advertise_http};
+          // Callers of a forwarding instance use its entry.
+          settings.forwarding.has_value() ? settings.forwarding->listen_entry : settings.advertise_http};
 }
 
 /// Two instances that start in the same microsecond still get different seeds.
@@ -54,6 +58,20 @@
   return core::base::MixHash(self.ref.incarnation.value, (static_cast<std::uint64_t>(device()) << 32U) | device());
 }
 
+/// Seeds are instances whose names are their IP numbers, as the instances of such a fleet are called.
+core::io::instance_list_read ListSeeds(const std::vector<std::string>& seeds) {
+  core::io::instance_list_read list;
+  list.succeeded = true;
+  for (const std::string& address : seeds) {
+    core::io::listed_instance listed;
+    std::uint16_t port = 0;
+    if (!SplitAddress(address, listed.id.value, port)) continue;
+    listed.peer_address = address;
+    list.instances.push_back(std::move(listed));
+  }
+  return list;
+}
+
 template <class Condition>
 bool WaitUntil(std::chrono::milliseconds time, Condition condition) {
   const auto end = std::chrono::steady_clock::now() + time;
@@ -84,22 +102,33 @@
   peer_links peers;
   endpoint_ports ports;
   http_server http;
+  /// Null without forwarding.
+  std::unique_ptr<forwarding_gateway> gateway;
 
-  explicit impl(const settings& s)
+  impl(const settings& s, const adapter_factory& make_adapter)
       : config(s),
         self(MakeIdentity(s)),
         seed(MakeSeed(self)),
-        log(s.level, s.name, STDERR_FILENO),
+        log(s.level, s.name, STDOUT_FILENO),
         core(self, seed,
              {[this](core::io::command&& command) { Execute(std::move(command)); },
-              [this](core::base::duration lag) { metrics.TickLagged(lag); }}),
+              [this](core::base::duration lag) { metrics.TickLagged(lag); }},
+             [&s](core::instance::instance& instance) {
+               if (!s.forwarding.has_value()) return;
+               instance.forwarding.enabled = true;
+               instance.forwarding.bounds = s.forwarding->bounds;
+             }),
         backend([this](core::io::event event) { PostBackendEvent(std::move(event)); }, s.backend_threads),
         platform(
             s, [this](core::io::event event) { core.Post(std::move(event)); },
             [this](std::size_t bytes) { metrics.PlatformBytesReceived(bytes); }),
         peers(s, MakePeerObserver(), log),
         ports(MakeEndpointPorts()),
-        http(s, MakeHttpObserver()) {}
+        http(s, MakeHttpObserver()) {
+    if (!s.forwarding.has_value()) return;
+    gateway = std::make_unique<forwarding_gateway>(
+        s, make_adapter, [this](core::io::event event) { core.Post(std::move(event)); }, metrics);
+  }
 
   peer_observer MakePeerObserver() {
     return {[this](core::io::event event) { core.Post(std::move(event)); },
@@ -153,8 +182,23 @@
   void Run(core::io::call_backend&& call) { backend.Call(call); }
   void Run(core::io::cancel_backend_call&& cancel) { backend.Cancel(cancel); }
   void Run(core::io::probe_backend&& probe) { backend.Probe(probe); }
-  void Run(core::io::read_configuration&& read) { platform.ReadConfiguration(read); }
-  void Run(core::io::read_instance_list&& /*read*/) { platform.ReadInstanceList(); }
+  /// A forwarding instance takes its configuration through the gateway.
+  void Run(core::io::read_configuration&& read) {
+    if (gateway == nullptr) platform.ReadConfiguration(read);
+  }
+  void Run(core::io::read_instance_list&& /*read*/) {
+    if (gateway == nullptr) return platform.ReadInstanceList();
+    core.Post(ListSeeds(config.seeds));
+  }
+
+  void Run(core::io::start_call&& command) { gateway->Run(std::move(command)); }
+  void Run(core::io::cancel_call&& command) { gateway->Run(command); }
+  void Run(core::io::reply_forwarded&& command) { gateway->Run(std::move(command)); }
+  void Run(core::io::reply_entry_addresses&& command) { gateway->Run(command); }
+  void Run(core::io::list_published&& command) { gateway->Run(command); }
+  void Run(core::io::watch_published&& command) { gateway->Run(command); }
+  void Run(core::io::apply_caller_limits&& command) { gateway->Run(command); }
+  void Run(core::io::report_readiness&& command) { gateway->Run(command); }
 
   void Run(core::io::log_decision&& decision) {
     metrics.Decided(decision.decision);
@@ -164,7 +208,8 @@
   void Run(core::io::exit_process&& /*exit*/) { left = true; }
 };
 
-daemon::daemon(const settings& settings) : impl_(std::make_unique<impl>(settings)) {}
+daemon::daemon(const settings& settings, const adapter_factory& make_adapter)
+    : impl_(std::make_unique<impl>(settings, make_adapter)) {}
 
 daemon::~daemon() { Stop(); }
 
@@ -174,6 +219,8 @@
   if (!bound.has_value()) return bound;
   bound = d.http.Start();
   if (!bound.has_value()) return bound;
+  if (d.gateway != nullptr) bound = d.gateway->Start();
+  if (!bound.has_value()) return bound;
   d.core.Start();
   d.started = true;
   d.log.Info("start", {{"data_centre", d.config.data_centre},
@@ -187,6 +234,7 @@
 void daemon::Leave() {
   if (impl_->leave_posted.exchange(true)) return;
   impl_->log.Info("leave", {});
+  if (impl_->gateway != nullptr) impl_->gateway->Leave();
   impl_->core.Post(core::io::leave_requested{});
 }
 
@@ -199,8 +247,13 @@
     const core::base::error leaving{error_kind::kInstanceLeaving, "the instance has ended; use another address"};
     d.http.RefuseWith(
         {core::base::DescribeError(leaving.kind).http_status, EncodeError(leaving, executed_state::kNo), true});
-    const bool answered = WaitUntil(kAnswerFlushTime, [&d] { return d.http.Unfinished() == 0; });
-    const bool flushed = WaitUntil(kPeerFlushTime, [&d] { return d.peers.IsFlushed(); });
+    const bool forwarding = d.gateway != nullptr;
+    const auto flush_time = forwarding ? kForwardingFlushTime : std::chrono::milliseconds(kAnswerFlushTime);
+    const bool answered = WaitUntil(flush_time, [&d, forwarding] {
+      return d.http.Unfinished() == 0 && (!forwarding || d.gateway->Unfinished() == 0);
+    });
+    const bool flushed = WaitUntil(forwarding ? kForwardingFlushTime : std::chrono::milliseconds(kPeerFlushTime),
+                                   [&d] { return d.peers.IsFlushed(); });
     d.log.Info("exit", {{"answers_pending", answered ? "0" : std::to_string(d.http.Unfinished())},
                         {"peer_messages_flushed", flushed ? "yes" : "no"}});
   }
@@ -208,6 +261,7 @@
   d.replies.Stop();
   d.http.Stop();
   d.core.Stop();
+  if (d.gateway != nullptr) d.gateway->Stop();
   d.backend.Stop();
   d.platform.Stop();
   d.peers.Stop();
--- a/shell/daemon.h
+++ b/shell/daemon.h
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "core/base/error_kind.h"
+#include "shell/forwarding_gateway.h"
 #include "shell/settings.h"
 
 namespace limpetrouter::shell {
@@ -10,7 +11,8 @@
 /// One running instance: the core thread with its HTTP server, backend client, platform client and peer links.
 class daemon {
  public:
-  explicit daemon(const settings& settings);
+  /// `make_adapter` may be empty if the settings have no forwarding.
+  daemon(const settings& settings, const adapter_factory& make_adapter);
   ~daemon();
   daemon(const daemon&) = delete;
   daemon& operator=(const daemon&) = delete;
--- /dev/null
+++ b/shell/forwarding_gateway.cc
@@ -0,0 +1,192 @@
+#include "shell/forwarding_gateway.h"
+
+#include <atomic>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "shell/core_loop.h"
+#include "shell/json_codec.h"
+
+namespace limpetrouter::shell {
+namespace {
+
+using core::base::error_kind;
+using core::base::executed_state;
+using core::base::reply_handle;
+using core::forwarding::call_id;
+using std::chrono::steady_clock;
+
+/// One thread takes the requests of all callers: an instance has a fraction of a processor.
+constexpr std::uint32_t kServerThreads = 1;
+/// Largest answer of a backend server.
+constexpr std::size_t kMaxCallAnswerBytes = 16 * 1024 * 1024;
+/// A connection that is not accepted within this time counts as refused, and nothing was sent on it.
+constexpr std::chrono::milliseconds kCallConnectTimeout{300};
+constexpr int kNotFound = 404;
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+
+}  // namespace
+
+struct forwarding_gateway::impl {
+  std::function<void(core::io::event)> post;
+  metrics& meters;
+  transfer_pool pool;
+  protocol_adapter adapter;
+  std::atomic<bool> ready{false};
+
+  std::mutex mutex;
+  std::unordered_map<call_id, transfer_id> transfers;
+
+  http_server entry;
+  http_server readiness;
+  http_server directory;
+
+  impl(const settings& settings, const adapter_factory& make_adapter, std::function<void(core::io::event)> post_event,
+       metrics& metrics)
+      : post(std::move(post_event)),
+        meters(metrics),
+        adapter(make_adapter(settings,
+                             {&pool, post, [&metrics](std::size_t bytes) { metrics.PlatformBytesReceived(bytes); }})),
+        entry(OptionsFor(settings, settings.forwarding->listen_entry),
+              {[this](reply_handle handle, http_request request) { TakeRequest(handle, std::move(request)); },
+               [this](reply_handle handle) { post(core::io::request_abandoned{handle}); }}),
+        readiness(OptionsFor(settings, settings.forwarding->listen_readiness),
+                  {[this](reply_handle handle, const http_request& request) { AnswerReadiness(handle, request); },
+                   [](reply_handle) {}}),
+        directory(OptionsFor(settings, settings.forwarding->listen_directory),
+                  {[this](reply_handle handle, const http_request& request) { TakeQuestion(handle, request); },
+                   [](reply_handle) {}}) {}
+
+  static http_server_options OptionsFor(const settings& settings, const std::string& address) {
+    http_server_options options;
+    options.address = address;
+    options.threads = kServerThreads;
+    options.max_pending = settings.max_pending_requests;
+    options.opaque = true;
+    return options;
+  }
+
+  void TakeRequest(reply_handle handle, http_request&& received) {
+    const core::base::time_point now = CoreNow();
+    core::base::result<core::forwarding::request> decoded = adapter.decode_request(std::move(received));
+    if (!decoded.has_value()) {
+      core::forwarding::answer refusal;
+      refusal.executed = executed_state::kNo;
+      refusal.status = core::base::DescribeError(decoded.error().kind).http_status;
+      refusal.failure = std::move(decoded.error());
+      entry.Answer(handle, adapter.encode_answer(nullptr, std::move(refusal)));
+      return;
+    }
+    decoded->received = now;
+    post(core::io::request_received{handle, std::make_shared<const core::forwarding::request>(std::move(*decoded))});
+  }
+
+  void AnswerReadiness(reply_handle handle, const http_request& request) {
+    int status = kNotFound;
+    if (adapter.is_readiness_question(request)) status = ready ? kOk : kUnavailable;
+    readiness.Answer(handle, {status, WriteJson({{"ready", status == kOk}}), true});
+  }
+
+  void TakeQuestion(reply_handle handle, const http_request& request) {
+    std::optional<core::base::data_centre_id> from = adapter.decode_address_question(request);
+    if (from.has_value()) return post(core::io::entry_addresses_requested{handle, std::move(*from)});
+    directory.Answer(
+        handle, {kNotFound, EncodeError({error_kind::kInvalidRequest, "no such path"}, executed_state::kNo), true});
+  }
+
+  void EndTransfer(const core::io::start_call& command, transfer_result&& ended) {
+    {
+      const std::lock_guard lock(mutex);
+      transfers.erase(command.call);
+    }
+    const std::chrono::microseconds elapsed = ended.elapsed;
+    core::forwarding::call_result result = adapter.decode_result(*command.request, std::move(ended));
+    result.elapsed = elapsed;
+    meters.CallEnded(result);
+    post(core::io::server_call_ended{command.call, std::move(result)});
+  }
+};
+
+forwarding_gateway::forwarding_gateway(const settings& settings, const adapter_factory& make_adapter,
+                                       std::function<void(core::io::event)> post, metrics& metrics)
+    : impl_(std::make_unique<impl>(settings, make_adapter, std::move(post), metrics)) {}
+
+forwarding_gateway::~forwarding_gateway() { Stop(); }
+
+core::base::result<void> forwarding_gateway::Start() {
+  for (http_server* const server : {&impl_->entry, &impl_->readiness, &impl_->directory}) {
+    core::base::result<void> bound = server->Start();
+    if (!bound.has_value()) return bound;
+  }
+  return {};
+}
+
+void forwarding_gateway::Run(core::io::start_call&& command) {
+  impl& g = *impl_;
+  transfer_request transfer = g.adapter.encode_call(command);
+  transfer.id = g.pool.NewId();
+  transfer.deadline = steady_clock::now() + command.remaining;
+  transfer.max_answer_bytes = kMaxCallAnswerBytes;
+  transfer.connect_timeout = kCallConnectTimeout;
+  transfer.write_once = true;
+  transfer.own_connection = command.own_connection;
+  transfer.max_idle = std::chrono::duration_cast<std::chrono::seconds>(command.max_idle);
+  {
+    const std::lock_guard lock(g.mutex);
+    g.transfers.emplace(command.call, transfer.id);
+  }
+  transfer.done = [&g, command = std::move(command)](transfer_result&& ended) {
+    g.EndTransfer(command, std::move(ended));
+  };
+  g.pool.Start(std::move(transfer));
+}
+
+void forwarding_gateway::Run(const core::io::cancel_call& command) {
+  transfer_id id = 0;
+  {
+    const std::lock_guard lock(impl_->mutex);
+    const auto found = impl_->transfers.find(command.call);
+    if (found == impl_->transfers.end()) return;
+    id = found->second;
+  }
+  impl_->pool.Cancel(id);
+}
+
+void forwarding_gateway::Run(core::io::reply_forwarded&& command) {
+  impl_->meters.RequestEnded(command.answer, CoreNow() - command.request->received);
+  impl_->entry.Answer(command.handle, impl_->adapter.encode_answer(command.request.get(), std::move(command.answer)));
+}
+
+void forwarding_gateway::Run(const core::io::reply_entry_addresses& command) {
+  impl_->directory.Answer(command.handle, impl_->adapter.encode_addresses(command));
+}
+
+void forwarding_gateway::Run(const core::io::list_published& command) { impl_->adapter.list(command); }
+
+void forwarding_gateway::Run(const core::io::watch_published& command) { impl_->adapter.watch(command); }
+
+void forwarding_gateway::Run(const core::io::apply_caller_limits& command) {
+  impl_->entry.SetLimits({command.limits.max_header_bytes, command.limits.max_body_bytes});
+}
+
+void forwarding_gateway::Run(const core::io::report_readiness& command) { impl_->ready = command.ready; }
+
+void forwarding_gateway::Leave() {
+  impl_->ready = false;
+  impl_->entry.CloseConnections();
+}
+
+std::size_t forwarding_gateway::Unfinished() const { return impl_->entry.Unfinished(); }
+
+void forwarding_gateway::Stop() {
+  impl_->entry.Stop();
+  impl_->readiness.Stop();
+  impl_->directory.Stop();
+  impl_->pool.Stop();
+}
+
+}  // namespace limpetrouter::shell
--- /dev/null
+++ b/shell/http_request_parser.cc
@@ -0,0 +1,226 @@
+#include "shell/http_request_parser.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+#include <fmt/format.h>
+
+namespace limpetrouter::shell {
+namespace {
+
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr std::string_view kHeaderEnd = "\r\n\r\n";
+constexpr int kHexBase = 16;
+/// A chunk's size line with its extension; longer ones only cost memory.
+constexpr std::size_t kMaxChunkLine = 1024;
+
+char ToLower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
+
+std::string_view Trim(std::string_view text) {
+  const auto first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+bool IsToken(std::string_view text) {
+  static constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+           kMarks.find(c) != std::string_view::npos;
+  });
+}
+
+bool HasControl(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](char c) {
+    const auto byte = static_cast<unsigned char>(c);
+    return (byte < 0x20 && c != '\t') || byte == 0x7f;
+  });
+}
+
+template <class Number>
+std::optional<Number> ParseNumber(std::string_view text, int base) {
+  Number number = 0;
+  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), number, base);
+  if (text.empty() || error != std::errc{} || stop != text.data() + text.size()) return std::nullopt;
+  return number;
+}
+
+void Fail(parsed_request& request, parse_state state, std::string detail) {
+  request.state = state;
+  request.detail = std::move(detail);
+}
+
+/// Returns false, with the fault noted, if the line is not a request line.
+bool ParseRequestLine(std::string_view line, parsed_request& request) {
+  const auto first = line.find(' ');
+  const auto last = line.rfind(' ');
+  if (first == std::string_view::npos || first == last) {
+    Fail(request, parse_state::kMalformed, "the request line is not METHOD TARGET VERSION");
+    return false;
+  }
+  const std::string_view target = line.substr(first + 1, last - first - 1);
+  const std::string_view version = line.substr(last + 1);
+  request.method = line.substr(0, first);
+  request.target = target;
+  request.close = version == "HTTP/1.0";
+  const bool path = target.starts_with('/') && target.find_first_of(" #") == std::string_view::npos;
+  if (!IsToken(request.method) || HasControl(target) || target.find('\t') != std::string_view::npos || !path ||
+      (version != "HTTP/1.1" && version != "HTTP/1.0")) {
+    Fail(request, parse_state::kMalformed, "the request line is malformed (allowed: METHOD /PATH HTTP/1.1)");
+    return false;
+  }
+  return true;
+}
+
+bool ParseFields(std::string_view text, parsed_request& request) {
+  while (!text.empty()) {
+    const auto end = text.find(kLineEnd);
+    const std::string_view line = text.substr(0, end);
+    text = end == std::string_view::npos ? std::string_view{} : text.substr(end + kLineEnd.size());
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos || !IsToken(line.substr(0, colon)) || HasControl(line)) {
+      Fail(request, parse_state::kMalformed, "a header field is malformed");
+      return false;
+    }
+    request.headers.emplace_back(line.substr(0, colon), Trim(line.substr(colon + 1)));
+  }
+  return true;
+}
+
+/// How the body is delimited.
+struct body_framing {
+  std::optional<std::size_t> length;
+  bool chunked = false;
+};
+
+bool ReadFraming(parsed_request& request, body_framing& framing) {
+  for (const auto& [name, value] : request.headers) {
+    if (EqualsIgnoringCase(name, "content-length")) {
+      const std::optional<std::size_t> length = ParseNumber<std::size_t>(value, 10);
+      if (!length.has_value() || framing.length.has_value()) {
+        Fail(request, parse_state::kMalformed, "Content-Length is not one number");
+        return false;
+      }
+      framing.length = length;
+    } else if (EqualsIgnoringCase(name, "transfer-encoding")) {
+      if (framing.chunked || !EqualsIgnoringCase(value, "chunked")) {
+        Fail(request, parse_state::kMalformed, "Transfer-Encoding is not supported (allowed: chunked)");
+        return false;
+      }
+      framing.chunked = true;
+    } else if (EqualsIgnoringCase(name, "expect")) {
+      request.expects_continue = EqualsIgnoringCase(value, "100-continue");
+    } else if (EqualsIgnoringCase(name, "connection")) {
+      std::string lower(value);
+      std::transform(lower.begin(), lower.end(), lower.begin(), &ToLower);
+      if (lower.find("close") != std::string::npos) request.close = true;
+    }
+  }
+  if (framing.chunked && framing.length.has_value()) {
+    Fail(request, parse_state::kMalformed, "Content-Length and Transfer-Encoding together");
+    return false;
+  }
+  return true;
+}
+
+/// Decodes a chunked body that begins at `request.size`. Leaves `kNeedsMore` if it is not whole.
+void ParseChunks(std::string_view input, const request_limits& limits, parsed_request& request) {
+  std::size_t at = request.size;
+  while (true) {
+    const auto end = input.find(kLineEnd, at);
+    if (end == std::string_view::npos) {
+      if (input.size() - at > kMaxChunkLine) Fail(request, parse_state::kMalformed, "a chunk size line is too long");
+      return;
+    }
+    const std::string_view line = input.substr(at, end - at);
+    const std::string_view digits = Trim(line.substr(0, line.find(';')));
+    const std::optional<std::size_t> size = ParseNumber<std::size_t>(digits, kHexBase);
+    if (!size.has_value() || HasControl(line)) {
+      return Fail(request, parse_state::kMalformed, "a chunk size is not a number");
+    }
+    at = end + kLineEnd.size();
+    if (*size == 0) break;
+    if (*size > limits.max_body_bytes || request.body.size() + *size > limits.max_body_bytes) {
+      return Fail(request, parse_state::kBodyTooLarge,
+                  fmt::format("the request body exceeds {} bytes", limits.max_body_bytes));
+    }
+    if (input.size() < at + *size + kLineEnd.size()) return;
+    if (input.substr(at + *size, kLineEnd.size()) != kLineEnd) {
+      return Fail(request, parse_state::kMalformed, "a chunk does not end with its size");
+    }
+    request.body.append(input.substr(at, *size));
+    at += *size + kLineEnd.size();
+  }
+  // Trailers end with an empty line.
+  while (true) {
+    const auto end = input.find(kLineEnd, at);
+    if (end == std::string_view::npos) {
+      if (input.size() - at > limits.max_header_bytes) {
+        Fail(request, parse_state::kHeaderTooLarge, "the trailers are too large");
+      }
+      return;
+    }
+    const bool last = end == at;
+    at = end + kLineEnd.size();
+    if (last) break;
+  }
+  request.size = at;
+  request.state = parse_state::kWhole;
+}
+
+}  // namespace
+
+bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return ToLower(x) == ToLower(y); });
+}
+
+const std::string* FindHeader(const http_headers& headers, std::string_view name) {
+  const auto found = std::find_if(headers.begin(), headers.end(),
+                                  [name](const auto& field) { return EqualsIgnoringCase(field.first, name); });
+  return found == headers.end() ? nullptr : &found->second;
+}
+
+std::size_t CountHeader(const http_headers& headers, std::string_view name) {
+  return static_cast<std::size_t>(std::count_if(
+      headers.begin(), headers.end(), [name](const auto& field) { return EqualsIgnoringCase(field.first, name); }));
+}
+
+parsed_request ParseRequest(std::string_view input, const request_limits& limits) {
+  parsed_request request;
+  const std::size_t end = input.substr(0, limits.max_header_bytes + kHeaderEnd.size()).find(kHeaderEnd);
+  if (end == std::string_view::npos) {
+    if (input.size() > limits.max_header_bytes) {
+      Fail(request, parse_state::kHeaderTooLarge,
+           fmt::format("the request header exceeds {} bytes", limits.max_header_bytes));
+    }
+    return request;
+  }
+  const std::string_view head = input.substr(0, end);
+  const std::size_t line_end = std::min(head.find(kLineEnd), head.size());
+  if (!ParseRequestLine(head.substr(0, line_end), request)) return request;
+  if (line_end < head.size() && !ParseFields(head.substr(line_end + kLineEnd.size()), request)) return request;
+  if (CountHeader(request.headers, "host") != 1) {
+    Fail(request, parse_state::kMalformed, "the request needs one Host field");
+    return request;
+  }
+  body_framing framing;
+  if (!ReadFraming(request, framing)) return request;
+  request.size = end + kHeaderEnd.size();
+  if (framing.chunked) {
+    ParseChunks(input, limits, request);
+    return request;
+  }
+  const std::size_t length = framing.length.value_or(0);
+  if (length > limits.max_body_bytes) {
+    Fail(request, parse_state::kBodyTooLarge, fmt::format("the request body exceeds {} bytes", limits.max_body_bytes));
+    return request;
+  }
+  if (input.size() < request.size + length) return request;
+  request.body = input.substr(request.size, length);
+  request.size += length;
+  request.state = parse_state::kWhole;
+  return request;
+}
+
+}  // namespace limpetrouter::shell
--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -30,12 +30,15 @@
 /// shorter one would cut off a request on a connection that was idle before.
 constexpr std::chrono::seconds kIdleTimeout{300};
 constexpr int kBacklog = 1024;
+constexpr int kHeaderFieldsTooLarge = 431;
 
 /// A request of a connection. Answers leave in the order of the requests.
 struct exchange {
   reply_handle handle;
-  std::unique_ptr<pistache_http::ResponseWriter> writer;
   std::optional<http_answer> answer;
+  pistache_http::Version version = pistache_http::Version::Http11;
+  /// The answer to HEAD has no body.
+  bool without_body = false;
   /// The connection is closed after the answer.
   bool last = false;
   steady_clock::time_point received;
@@ -52,6 +55,8 @@
   std::mutex mutex;
   std::deque<exchange> exchanges;
   bool closed = false;
+  /// An answer with "Connection: close" was handed out; later requests of the connection are not taken.
+  bool closing = false;
   /// Answers handed to Pistache and not yet written.
   std::size_t unwritten = 0;
 };
@@ -63,6 +68,10 @@
   http_observer observer;
   std::size_t max_request_bytes = 0;
   std::size_t max_pending = 0;
+  bool opaque = false;
+  std::atomic<std::size_t> max_header_bytes{request_limits{}.max_header_bytes};
+  std::atomic<std::size_t> max_body_bytes{request_limits{}.max_body_bytes};
+  std::atomic<bool> close_connections{false};
 
   std::mutex mutex;
   std::unordered_map<reply_handle, connection_ptr> waiting;
@@ -86,17 +95,35 @@
   bool last = false;
 };
 
+std::string EncodeHead(const exchange& done, bool close) {
+  const http_answer& answer = *done.answer;
+  const char* const version = done.version == pistache_http::Version::Http10 ? "HTTP/1.0" : "HTTP/1.1";
+  std::string head = fmt::format("{} {} {}\r\n", version, answer.status,
+                                 pistache_http::codeString(static_cast<pistache_http::Code>(answer.status)));
+  for (const auto& [name, value] : answer.headers)
+    fmt::format_to(std::back_inserter(head), "{}: {}\r\n", name, value);
+  if (FindHeader(answer.headers, "content-type") == nullptr) {
+    head += answer.is_json ? "Content-Type: application/json\r\n" : "Content-Type: text/plain; version=0.0.4\r\n";
+  }
+  fmt::format_to(std::back_inserter(head), "Connection: {}\r\nContent-Length: {}\r\n\r\n",
+                 close ? "close" : "keep-alive", answer.body.size());
+  return head;
+}
+
 /// Hands the answers that are due to Pistache. `c.mutex` is held.
-void StartWrites(connection& c, std::vector<started_write>& writes) {
-  while (!c.exchanges.empty() && c.exchanges.front().answer.has_value()) {
+void StartWrites(const server_state& state, connection& c, std::vector<started_write>& writes) {
+  const std::shared_ptr<pistache_tcp::Peer> peer = c.peer.lock();
+  while (peer != nullptr && !c.exchanges.empty() && c.exchanges.front().answer.has_value()) {
     exchange done = std::move(c.exchanges.front());
     c.exchanges.pop_front();
-    const http_answer& answer = *done.answer;
-    const auto mime = answer.is_json ? Pistache::Http::Mime::MediaType::fromString("application/json")
-                                     : Pistache::Http::Mime::MediaType::fromString("text/plain; version=0.0.4");
+    // An answer in the middle of pipelined requests must not close the connection under the later ones.
+    const bool close = done.last || ((done.answer->close || state.close_connections) && c.exchanges.empty());
+    std::string text = EncodeHead(done, close);
+    if (!done.without_body) text += done.answer->body;
+    if (close) c.closing = true;
     ++c.unwritten;
-    writes.push_back(
-        {done.writer->send(static_cast<pistache_http::Code>(answer.status), answer.body, mime), done.last});
+    const std::size_t size = text.size();
+    writes.push_back({peer->send(Pistache::RawBuffer(std::move(text), size)), close});
   }
 }
 
@@ -107,7 +134,9 @@
   --state.unfinished;
   const std::shared_ptr<pistache_tcp::Peer> peer = c->peer.lock();
   // The reading side stays open: closing it over unread input would reset the connection under the answer.
-  if (last && peer != nullptr) ::shutdown(peer->fd(), SHUT_WR);
+  if (peer == nullptr) return;
+  if (last) ::shutdown(peer->fd(), SHUT_WR);
+  if (c->exchanges.empty()) peer->setIdle(true);
 }
 
 void AttachCallbacks(const std::shared_ptr<server_state>& state, const connection_ptr& c,
@@ -140,7 +169,7 @@
       elapsed = std::chrono::duration_cast<core::base::duration>(steady_clock::now() - e.received);
       break;
     }
-    StartWrites(*c, writes);
+    StartWrites(*state, *c, writes);
   }
   AttachCallbacks(state, c, writes);
   return elapsed;
@@ -214,16 +243,17 @@
 
   /// Takes one request from the input. Returns false if more bytes are needed.
   bool TakeRequest(const connection_ptr& c, const std::shared_ptr<pistache_tcp::Peer>& peer) {
+    if (state_->opaque) return TakeOpaqueRequest(c, peer);
     const request_frame frame = FrameRequest(c->input, state_->max_request_bytes);
     switch (frame.state) {
       case request_state::kNeedsMore:
         if (frame.expects_continue) SendContinue(*c, *peer);
         return false;
       case request_state::kTooLarge:
-        Refuse(c, peer, MakeError(error_kind::kRequestTooLarge, frame.detail));
+        Refuse(c, MakeError(error_kind::kRequestTooLarge, frame.detail));
         return false;
       case request_state::kMalformed:
-        Refuse(c, peer, MakeError(error_kind::kInvalidRequest, frame.detail));
+        Refuse(c, MakeError(error_kind::kInvalidRequest, frame.detail));
         return false;
       case request_state::kWhole:
         break;
@@ -234,6 +264,47 @@
     return true;
   }
 
+  /// Takes one request from the input without decoding it. Returns false if more bytes are needed.
+  bool TakeOpaqueRequest(const connection_ptr& c, const std::shared_ptr<pistache_tcp::Peer>& peer) {
+    if (c->input.empty() || IsClosing(*c)) return false;
+    parsed_request parsed = ParseRequest(c->input, {state_->max_header_bytes, state_->max_body_bytes});
+    switch (parsed.state) {
+      case parse_state::kNeedsMore:
+        if (parsed.expects_continue) SendContinue(*c, *peer);
+        return false;
+      case parse_state::kHeaderTooLarge:
+        Refuse(c, MakeError(error_kind::kRequestTooLarge, kHeaderFieldsTooLarge, parsed.detail));
+        return false;
+      case parse_state::kBodyTooLarge:
+        Refuse(c, MakeError(error_kind::kRequestTooLarge, parsed.detail));
+        return false;
+      case parse_state::kMalformed:
+        Refuse(c, MakeError(error_kind::kInvalidRequest, parsed.detail));
+        return false;
+      case parse_state::kWhole:
+        break;
+    }
+    c->input.erase(0, parsed.size);
+    c->continue_sent = false;
+    peer->setIdle(false);
+    const auto version = pistache_http::Version::Http11;
+    const reply_handle handle = AddExchange(c, version, parsed.close, parsed.method == "HEAD");
+    c->finished = parsed.close;
+    http_request request;
+    request.method = std::move(parsed.method);
+    request.path = parsed.target.substr(0, parsed.target.find('?'));
+    request.target = std::move(parsed.target);
+    request.headers = std::move(parsed.headers);
+    request.body = std::move(parsed.body);
+    HandOver(handle, std::move(request));
+    return true;
+  }
+
+  static bool IsClosing(connection& c) {
+    const std::lock_guard lock(c.mutex);
+    return c.closing;
+  }
+
   static void SendContinue(connection& c, pistache_tcp::Peer& peer) {
     if (std::exchange(c.continue_sent, true)) return;
     const std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -251,17 +322,21 @@
     } catch (const std::exception& e) {
       fault = fmt::format("the HTTP request is malformed: {}", e.what());
     }
-    if (!fault.empty()) return Refuse(c, peer, MakeError(error_kind::kInvalidRequest, fault));
+    if (!fault.empty()) return Refuse(c, MakeError(error_kind::kInvalidRequest, fault));
     peer->setIdle(false);
-    Accept(c, peer, parser->request);
+    Accept(c, parser->request);
     parser->reset();
   }
 
-  void Accept(const connection_ptr& c, const std::shared_ptr<pistache_tcp::Peer>& peer,
-              const pistache_http::Request& request) {
+  void Accept(const connection_ptr& c, const pistache_http::Request& request) {
     const bool last = WantsClose(request);
     c->finished = last;
-    const reply_handle handle = AddExchange(c, peer, request.version(), last);
+    const reply_handle handle =
+        AddExchange(c, request.version(), last, request.method() == pistache_http::Method::Head);
+    HandOver(handle, ConvertRequest(request));
+  }
+
+  void HandOver(reply_handle handle, http_request request) {
     std::optional<http_answer> refusal;
     {
       const std::lock_guard lock(state_->mutex);
@@ -273,15 +348,11 @@
     if (refusal.has_value()) {
       GiveAnswer(state_, handle, std::move(*refusal));
     } else {
-      state_->observer.on_request(handle, ConvertRequest(request));
+      state_->observer.on_request(handle, std::move(request));
     }
   }
 
-  reply_handle AddExchange(const connection_ptr& c, const std::shared_ptr<pistache_tcp::Peer>& peer,
-                           pistache_http::Version version, bool last) {
-    auto writer = std::make_unique<pistache_http::ResponseWriter>(version, transport(), this, peer);
-    writer->headers().add<pistache_http::Header::Connection>(last ? pistache_http::ConnectionControl::Close
-                                                                  : pistache_http::ConnectionControl::KeepAlive);
+  reply_handle AddExchange(const connection_ptr& c, pistache_http::Version version, bool last, bool without_body) {
     reply_handle handle;
     {
       const std::lock_guard lock(state_->mutex);
@@ -290,14 +361,14 @@
     }
     ++state_->unfinished;
     const std::lock_guard lock(c->mutex);
-    c->exchanges.push_back({handle, std::move(writer), std::nullopt, last, steady_clock::now()});
+    c->exchanges.push_back({handle, std::nullopt, version, without_body, last, steady_clock::now()});
     return handle;
   }
 
   /// Answers input that is no request, and closes the connection: where the next request begins is not known.
-  void Refuse(const connection_ptr& c, const std::shared_ptr<pistache_tcp::Peer>& peer, http_answer answer) {
+  void Refuse(const connection_ptr& c, http_answer answer) {
     c->finished = true;
-    GiveAnswer(state_, AddExchange(c, peer, pistache_http::Version::Http11, true), std::move(answer));
+    GiveAnswer(state_, AddExchange(c, pistache_http::Version::Http11, true, false), std::move(answer));
   }
 
   std::shared_ptr<server_state> state_;
@@ -312,12 +383,18 @@
   std::unique_ptr<pistache_http::Endpoint> endpoint;
 };
 
-http_server::http_server(const settings& settings, http_observer observer) : impl_(std::make_unique<impl>()) {
-  impl_->address = settings.listen_http;
-  impl_->threads = settings.threads;
+http_server::http_server(const settings& settings, http_observer observer)
+    : http_server(http_server_options{settings.listen_http, settings.threads, settings.max_request_bytes,
+                                      settings.max_pending_requests, false},
+                  std::move(observer)) {}
+
+http_server::http_server(const http_server_options& options, http_observer observer) : impl_(std::make_unique<impl>()) {
+  impl_->address = options.address;
+  impl_->threads = options.threads;
   impl_->state->observer = std::move(observer);
-  impl_->state->max_request_bytes = settings.max_request_bytes;
-  impl_->state->max_pending = settings.max_pending_requests;
+  impl_->state->max_request_bytes = options.max_request_bytes;
+  impl_->state->max_pending = options.max_pending;
+  impl_->state->opaque = options.opaque;
 }
 
 http_server::~http_server() { Stop(); }
@@ -339,7 +416,7 @@
   } catch (const std::exception& e) {
     impl_->endpoint.reset();
     return core::base::Fail(error_kind::kInvalidSetting,
-                            fmt::format("listen.http: cannot listen on {}: {}", impl_->address, e.what()));
+                            fmt::format("cannot listen on {}: {}", impl_->address, e.what()));
   }
   return {};
 }
@@ -348,6 +425,13 @@
   return GiveAnswer(impl_->state, handle, std::move(answer));
 }
 
+void http_server::SetLimits(const request_limits& limits) {
+  impl_->state->max_header_bytes = limits.max_header_bytes;
+  impl_->state->max_body_bytes = limits.max_body_bytes;
+}
+
+void http_server::CloseConnections() { impl_->state->close_connections = true; }
+
 void http_server::RefuseWith(http_answer answer) {
   const std::lock_guard lock(impl_->state->mutex);
   impl_->state->refusal = std::move(answer);
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -10,6 +10,7 @@
 #include "core/base/error_kind.h"
 #include "core/base/strong_id.h"
 #include "core/base/time.h"
+#include "shell/http_request_parser.h"
 #include "shell/settings.h"
 
 namespace limpetrouter::shell {
@@ -20,12 +21,30 @@
   /// Decoded query parameters.
   std::unordered_map<std::string, std::string> parameters;
   std::string body;
+  /// Of an opaque server only: path and query as they were sent, and the header fields.
+  std::string target;
+  http_headers headers;
 };
 
 struct http_answer {
   int status = 200;
   std::string body;
   bool is_json = true;
+  /// Sent in addition. If they name a Content-Type, `is_json` is not used.
+  http_headers headers = {};
+  /// The connection is closed after the answer.
+  bool close = false;
+};
+
+struct http_server_options {
+  /// "IP:port".
+  std::string address;
+  std::uint32_t threads = 1;
+  /// Of a server that is not opaque: largest request, header included.
+  std::size_t max_request_bytes = 128 * 1024;
+  std::size_t max_pending = 50'000;
+  /// Requests are handed on undecoded, with all header fields, and may be chunked.
+  bool opaque = false;
 };
 
 /// Told on the server's threads.
@@ -41,6 +60,7 @@
 class http_server {
  public:
   http_server(const settings& settings, http_observer observer);
+  http_server(const http_server_options& options, http_observer observer);
   ~http_server();
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
@@ -49,6 +69,10 @@
   core::base::result<void> Start();
   /// Returns the time since the request, or nothing if its caller is gone.
   std::optional<core::base::duration> Answer(core::base::reply_handle handle, http_answer answer);
+  /// Limits of an opaque server, from now on.
+  void SetLimits(const request_limits& limits);
+  /// From now on every answer closes its connection, so that callers move on before the process ends.
+  void CloseConnections();
   /// Answers all later requests with `answer`.
   void RefuseWith(http_answer answer);
   /// Requests without an answer, and answers that are not written yet.
--- a/shell/main.cc
+++ b/shell/main.cc
@@ -10,6 +10,9 @@
 
 #include <fmt/format.h>
 
+#if __has_include("platform/adapter.h")
+#include "platform/adapter.h"
+#endif
 #include "shell/daemon.h"
 #include "shell/settings.h"
 #include "shell/version.h"
@@ -98,21 +101,36 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   return signals;
 }
 
+/// The adapter that this build contains, if any.
+adapter_factory PlatformAdapter() {
+#if __has_include("platform/adapter.h")
+  return &platform::MakeAdapter;
+#else
+  return {};
+#endif
+}
+
 int RunDaemon(const settings& settings) {
   const sigset_t signals = BlockSignals();
   RaiseFileLimit();
-  daemon running(settings);
+  const adapter_factory adapter = PlatformAdapter();
+  if (settings.forwarding.has_value() && !adapter) {
+    fmt::print(stderr, "limpetrouterd: [forwarding] is set, but this build has no platform adapter\n");
+    return kExitSettings;
+  }
+  daemon running(settings, adapter);
   const core::base::result<void> started = running.Start();
   if (!started.has_value()) {
     fmt::print(stderr, "limpetrouterd: {}\n", started.error().detail);
     return started.error().kind == core::base::error_kind::kInvalidSetting ? kExitListen : kExitInternal;
   }
-  constexpr timespec kPoll{0, 20'000'000};
+  constexpr timespec kPoll{0, 50'000'000};
   while (!running.HasLeft()) {
     const int signal = sigtimedwait(&signals, nullptr, &kPoll);
     if (signal == SIGTERM || signal == SIGINT) running.Leave();
--- a/shell/metrics.cc
+++ b/shell/metrics.cc
@@ -69,7 +69,7 @@
                            .Add({}, LatencyBuckets());
   Histogram& coverage = prometheus::BuildHistogram()
                             .Name("limpetrouter_query_coverage")
-                            .Help("Share of documents answered, of successful queries.")
+                            .Help("Share of documents or shards answered, of successful queries.")
                             .Register(registry)
                             .Add({}, CoverageBuckets());
   prometheus::Family<Counter>& backend_calls = prometheus::BuildCounter()
@@ -109,7 +109,7 @@
       prometheus::BuildGauge().Name("limpetrouter_members").Help("Other instances by state.").Register(registry);
   Gauge& revision = prometheus::BuildGauge()
                         .Name("limpetrouter_configuration_revision")
-                        .Help("Configuration revision in force; 0 if none.")
+                        .Help("Configuration revision or version in force; 0 if none.")
                         .Register(registry)
                         .Add({});
   Gauge& leaving = prometheus::BuildGauge()
@@ -163,6 +163,26 @@
   impl_->backend_latency.Observe(ToSeconds(core::base::duration(result.called_us)));
 }
 
+void metrics::RequestEnded(const core::forwarding::answer& answer, core::base::duration elapsed) {
+  const bool succeeded = !answer.failure.has_value();
+  const auto kind = succeeded ? core::base::error_kind::kInternal : answer.failure->kind;
+  Labelled(impl_->queries, "outcome", Outcome(succeeded, kind)).Increment();
+  impl_->latency.Observe(ToSeconds(elapsed));
+  if (!succeeded) {
+    Labelled(impl_->refusals, "executed", std::string(core::base::ToString(answer.executed))).Increment();
+  } else if (answer.merged) {
+    const auto parts = static_cast<double>(answer.signatures.size());
+    impl_->coverage.Observe(parts / (parts + static_cast<double>(answer.missing_parts)));
+  }
+}
+
+void metrics::CallEnded(const core::forwarding::call_result& result) {
+  const bool succeeded = !result.failure.has_value();
+  const auto kind = succeeded ? core::base::error_kind::kInternal : *result.failure;
+  Labelled(impl_->backend_calls, "outcome", Outcome(succeeded, kind)).Increment();
+  impl_->backend_latency.Observe(ToSeconds(result.elapsed));
+}
+
 void metrics::Decided(const std::string& decision) { Labelled(impl_->decisions, "decision", decision).Increment(); }
 
 void metrics::PeerBytesSent(message_plane plane, std::size_t bytes) {
@@ -188,7 +208,12 @@
     Labelled(impl_->members, "state", std::string(core::membership::ToString(state))).Set(static_cast<double>(count));
   }
   const auto& config = instance.membership.store.in_force;
-  impl_->revision.Set(config == nullptr ? 0 : static_cast<double>(config->revision.value));
+  const auto& routing = instance.forwarding.routing;
+  if (routing != nullptr) {
+    impl_->revision.Set(static_cast<double>(routing->version));
+  } else {
+    impl_->revision.Set(config == nullptr ? 0 : static_cast<double>(config->revision.value));
+  }
   impl_->leaving.Set(instance.leaving ? 1 : 0);
 }
 
--- a/shell/metrics.h
+++ b/shell/metrics.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "core/base/time.h"
+#include "core/forwarding/messages.h"
 #include "core/instance/instance.h"
 #include "core/peer/messages.h"
 #include "shell/peer_links.h"
@@ -24,6 +25,9 @@
   /// A query that was refused before it became an event, so it certainly did not run.
   void QueryRefused(core::base::error_kind kind);
   void BackendCallEnded(const core::peer::attempt_result& result);
+  /// A forwarded request, and a call that it made.
+  void RequestEnded(const core::forwarding::answer& answer, core::base::duration elapsed);
+  void CallEnded(const core::forwarding::call_result& result);
   /// Hedges, retries and refusals are among the decisions of the core.
   void Decided(const std::string& decision);
   void PeerBytesSent(message_plane plane, std::size_t bytes);
--- a/shell/settings.cc
+++ b/shell/settings.cc
@@ -31,6 +31,10 @@
       {"advertise", {"http", "peer"}},
       {"platform", {"configuration_url", "instance_list_url", "timeout_ms"}},
       {"log", {"level"}},
+      {"peers", {"seeds", "port"}},
+      {"forwarding",
+       {"entry", "readiness", "directory", "store", "retry_ratio", "retry_window_s", "retry_allowance",
+        "max_address_validity_s", "shutdown_grace_s"}},
       {"limits",
        {"max_request_bytes", "max_peer_queue_bytes", "max_peer_connections", "max_pending_requests",
         "backend_threads"}},
@@ -211,7 +215,54 @@
                "decisions, info, warning");
 }
 
+void ReadSeconds(checker& check, const std::string& key, double high, core::base::duration& out) {
+  double seconds = std::chrono::duration<double>(out).count();
+  ReadNumber<double>(check, "forwarding", key, 0.1, high, seconds);
+  out = std::chrono::duration_cast<core::base::duration>(std::chrono::duration<double>(seconds));
+}
+
+void ReadForwarding(checker& check, settings& out) {
+  if (check.ini.GetSectionSize("forwarding") <= 0) return;
+  forwarding_settings read;
+  constexpr double kMaxSeconds = 3'600;
+  constexpr std::uint32_t kMaxAllowance = 1'000'000;
+  ReadAddress(check, "forwarding", "entry", true, read.listen_entry);
+  ReadAddress(check, "forwarding", "readiness", true, read.listen_readiness);
+  ReadAddress(check, "forwarding", "directory", true, read.listen_directory);
+  ReadAddress(check, "forwarding", "store", true, read.store);
+  ReadNumber<double>(check, "forwarding", "retry_ratio", 0.0, 1.0, read.bounds.retry_ratio);
+  ReadNumber<std::uint32_t>(check, "forwarding", "retry_allowance", 0, kMaxAllowance, read.bounds.retry_allowance);
+  ReadSeconds(check, "retry_window_s", kMaxSeconds, read.bounds.retry_window);
+  ReadSeconds(check, "max_address_validity_s", kMaxSeconds, read.bounds.max_address_validity);
+  ReadSeconds(check, "shutdown_grace_s", kMaxSeconds, read.bounds.shutdown_grace);
+  out.forwarding = std::move(read);
+}
+
+/// Reads the seeds. With `peers.port` only the IP of each entry counts, and the port is the one of the peers.
+void ReadSeeds(checker& check, settings& out) {
+  const std::string list = check.Value("peers", "seeds").value_or("");
+  std::uint16_t peer_port = 0;
+  ReadNumber<std::uint16_t>(check, "peers", "port", 1, 65'535, peer_port);
+  std::string_view rest = list;
+  while (!rest.empty()) {
+    const auto comma = rest.find(',');
+    const std::string_view item = Trim(rest.substr(0, comma));
+    rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
+    if (item.empty()) continue;
+    std::string ip;
+    std::uint16_t port = 0;
+    if (!SplitAddress(item, ip, port)) {
+      check.Report(check.LineOf("peers.seeds"), "peers.seeds", fmt::format("\"{}\" is not an address", item),
+                   "IP:port, separated by commas");
+      continue;
+    }
+    out.seeds.push_back(peer_port == 0 ? std::string(item) : fmt::format("{}:{}", ip, peer_port));
+  }
+}
+
 void ReadAll(checker& check, settings& out) {
+  ReadForwarding(check, out);
+  ReadSeeds(check, out);
   ReadName(check, "instance", "name", out.name);
   ReadName(check, "instance", "data_centre", out.data_centre);
   ReadAddress(check, "listen", "http", true, out.listen_http);
@@ -221,8 +272,10 @@
   out.advertise_peer = out.listen_peer;
   ReadAddress(check, "advertise", "http", false, out.advertise_http);
   ReadAddress(check, "advertise", "peer", false, out.advertise_peer);
-  ReadUrl(check, "configuration_url", out.configuration_url);
-  ReadUrl(check, "instance_list_url", out.instance_list_url);
+  if (!out.forwarding.has_value()) {
+    ReadUrl(check, "configuration_url", out.configuration_url);
+    ReadUrl(check, "instance_list_url", out.instance_list_url);
+  }
   std::int64_t timeout_ms = core::base::ToMilliseconds(out.platform_timeout);
   ReadNumber<std::int64_t>(check, "platform", "timeout_ms", 10, 60'000, timeout_ms);
   out.platform_timeout = std::chrono::milliseconds(timeout_ms);
--- a/shell/settings.h
+++ b/shell/settings.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -9,6 +10,7 @@
 #include <tl/expected.hpp>
 
 #include "core/base/time.h"
+#include "core/forwarding/request_table.h"
 
 namespace limpetrouter::shell {
 
@@ -24,6 +26,17 @@
 
 std::string_view ToString(log_level level);
 
+/// Forwarding of opaque requests, as configured by the platform's store.
+struct forwarding_settings {
+  /// [forwarding] Where callers' requests, questions for readiness and questions for addresses are taken.
+  std::string listen_entry;
+  std::string listen_readiness;
+  std::string listen_directory;
+  /// The platform's store.
+  std::string store;
+  core::forwarding::fleet_bounds bounds;
+};
+
 /// Settings of one daemon, from its INI file. Addresses are "IP:port".
 struct settings {
   /// [instance]
@@ -41,6 +54,11 @@
   std::string advertise_http;
   std::string advertise_peer;
 
+  /// Set if there is a section [forwarding]; [platform] is not needed then.
+  std::optional<forwarding_settings> forwarding;
+  /// [peers] Peer addresses of a few instances of the fleet, some of which may be gone.
+  std::vector<std::string> seeds;
+
   /// [platform]
   std::string configuration_url;
   std::string instance_list_url;
--- a/shell/transfer_pool.cc
+++ b/shell/transfer_pool.cc
@@ -9,6 +9,9 @@
 #include <vector>
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace limpetrouter::shell {
 namespace {
@@ -24,6 +27,10 @@
 /// Idle connections are not reused after this time, in seconds, and are closed.
 constexpr long kMaxIdleSeconds = 60;
 constexpr int kPollTimeoutMs = 1'000;
+/// A probed connection is given up after about three seconds without a sign of the peer.
+constexpr int kProbeSeconds = 1;
+constexpr int kProbeCount = 2;
+constexpr unsigned kUserTimeoutMs = 3'000;
 
 /// Initialises libcurl before the first thread uses it.
 void InitialiseCurl() {
@@ -36,6 +43,7 @@
   transfer_request request;
   transfer_result result;
   CURL* handle = nullptr;
+  curl_slist* header_list = nullptr;
   steady_clock::time_point started;
   /// How often libcurl was about to write the request.
   int writes = 0;
@@ -54,6 +62,33 @@
   return bytes;
 }
 
+/// Collects the header fields of the last header: an interim answer comes before it.
+std::size_t OnHeader(char* data, std::size_t size, std::size_t count, void* pointer) {
+  auto& t = *static_cast<transfer*>(pointer);
+  const std::size_t bytes = size * count;
+  std::string_view line(data, bytes);
+  while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
+    line.remove_suffix(1);
+  if (line.starts_with("HTTP/")) t.result.headers.clear();
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos || line.starts_with("HTTP/")) return bytes;
+  std::string_view value = line.substr(colon + 1);
+  const auto first = value.find_first_not_of(" \t");
+  value = first == std::string_view::npos ? std::string_view{} : value.substr(first);
+  t.result.headers.emplace_back(line.substr(0, colon), value);
+  return bytes;
+}
+
+int OnSocket(void* /*pointer*/, curl_socket_t socket, curlsocktype /*purpose*/) {
+  const int on = 1;
+  setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeSeconds, sizeof kProbeSeconds);
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeSeconds, sizeof kProbeSeconds);
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kProbeCount, sizeof kProbeCount);
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs, sizeof kUserTimeoutMs);
+  return CURL_SOCKOPT_OK;
+}
+
 /// Runs when the connection stands, right before the request is written. A process that was paused while it connected
 /// must not start a call whose deadline has passed.
 int OnBeforeWrite(void* pointer, char* /*peer_ip*/, char* /*own_ip*/, int /*peer_port*/, int /*own_port*/) {
@@ -72,6 +107,7 @@
   constexpr int kNoContent = 204;
   constexpr int kNotModified = 304;
   if (!t.result.body.empty() || t.result.status == kNoContent || t.result.status == kNotModified) return false;
+  if (t.request.method == "HEAD") return false;
   curl_off_t announced = -1;
   curl_easy_getinfo(t.handle, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &announced);
   return announced < 0;
@@ -204,12 +240,17 @@
     curl_easy_setopt(h, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(h, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, static_cast<long>(left.count()));
-    curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::min(left, kConnectTimeout).count()));
-    curl_easy_setopt(h, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
+    const milliseconds connect =
+        t.request.connect_timeout.count() > 0 ? t.request.connect_timeout : milliseconds(kConnectTimeout);
+    curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::min(left, connect).count()));
+    const long max_idle = static_cast<long>(t.request.max_idle.count());
+    curl_easy_setopt(h, CURLOPT_MAXAGE_CONN, max_idle > 0 ? max_idle : kMaxIdleSeconds);
+    if (t.request.keep_alive_probes) curl_easy_setopt(h, CURLOPT_SOCKOPTFUNCTION, &OnSocket);
     curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, &OnBody);
     curl_easy_setopt(h, CURLOPT_WRITEDATA, &t);
     curl_easy_setopt(h, CURLOPT_PREREQFUNCTION, &OnBeforeWrite);
     curl_easy_setopt(h, CURLOPT_PREREQDATA, &t);
+    if (!t.request.method.empty()) SetOpaqueOptions(t);
     if (t.request.post) {
       curl_easy_setopt(h, CURLOPT_HTTPHEADER, post_headers);
       curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(t.request.body.size()));
@@ -221,6 +262,32 @@
     }
   }
 
+  static void SetOpaqueOptions(transfer& t) {
+    CURL* h = t.handle;
+    curl_easy_setopt(h, CURLOPT_REQUEST_TARGET, t.request.target.c_str());
+    curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, &OnHeader);
+    curl_easy_setopt(h, CURLOPT_HEADERDATA, &t);
+    // Fields that libcurl would add by itself are taken out unless the request has them.
+    for (const char* name : {"Accept", "Content-Type"}) {
+      if (FindHeader(t.request.headers, name) == nullptr)
+        t.header_list = curl_slist_append(t.header_list, (std::string(name) + ":").c_str());
+    }
+    t.header_list = curl_slist_append(t.header_list, "Expect:");
+    for (const auto& [name, value] : t.request.headers) {
+      const std::string line = value.empty() ? name + ";" : name + ": " + value;
+      t.header_list = curl_slist_append(t.header_list, line.c_str());
+    }
+    curl_easy_setopt(h, CURLOPT_HTTPHEADER, t.header_list);
+    const bool sends_body = !t.request.body.empty() || t.request.method == "POST" || t.request.method == "PUT";
+    if (sends_body) {
+      curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(t.request.body.size()));
+      curl_easy_setopt(h, CURLOPT_POSTFIELDS, t.request.body.data());
+    } else if (t.request.method == "HEAD") {
+      curl_easy_setopt(h, CURLOPT_NOBODY, 1L);
+    }
+    curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, t.request.method.c_str());
+  }
+
   void TakeEnded() {
     int left = 0;
     while (const CURLMsg* message = curl_multi_info_read(multi, &left)) {
@@ -230,6 +297,9 @@
       long status = 0;
       curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE, &status);
       t->result.status = static_cast<int>(status);
+      long connects = 0;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_NUM_CONNECTS, &connects);
+      t->result.opened_connection = connects > 0;
       End(t->request.id, t->too_large ? transfer_outcome::kMalformed : OutcomeOf(*t, message->data.result));
     }
   }
@@ -243,6 +313,7 @@
       // Removing a handle in the middle of its transfer closes the connection, so a late answer reaches nobody.
       curl_multi_remove_handle(multi, t->handle);
       curl_easy_reset(t->handle);
+      curl_slist_free_all(t->header_list);
       spare_handles.push_back(t->handle);
     }
     t->result.outcome = outcome;
--- a/shell/transfer_pool.h
+++ b/shell/transfer_pool.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <string_view>
 
+#include "shell/http_request_parser.h"
+
 namespace limpetrouter::shell {
 
 /// How a transfer ended.
@@ -34,6 +36,9 @@
   bool bytes_sent = false;
   int status = 0;
   std::string body;
+  /// Of an opaque request only.
+  http_headers headers;
+  bool opened_connection = false;
   std::chrono::microseconds elapsed{};
 };
 
@@ -46,6 +51,11 @@
   /// POST with this body as JSON, or GET.
   bool post = false;
   std::string body;
+  /// If set, the request is opaque: it goes out with exactly this method, target, header fields and body.
+  std::string method;
+  /// Path and query of an opaque request; `url` gives the address only.
+  std::string target;
+  http_headers headers;
   std::chrono::steady_clock::time_point deadline;
   std::size_t max_answer_bytes = 0;
   /// The request must not be written twice. libcurl writes a request again by itself when a reused connection turns out
@@ -53,6 +63,12 @@
   bool write_once = false;
   /// Neither reuses a connection nor leaves one behind, so that a dead connection cannot cost the only try.
   bool own_connection = false;
+  /// Time to get a connection; zero for the usual one.
+  std::chrono::milliseconds connect_timeout{};
+  /// An idle connection is not used after this time; zero for the usual one.
+  std::chrono::seconds max_idle{};
+  /// The connection is probed while it is idle or waits, so that a silent one is noticed.
+  bool keep_alive_probes = false;
   /// Called exactly once, on the pool's thread, or on the caller's if the pool has stopped.
   std::function<void(transfer_result&&)> done;
 };
