Read everything anew when the store has lost its history

Ruled out: the network and the processor, as six instances failed at the same moment. Now a lost history gives up the other watch too, and a watch waits for 2.5 s instead of 4 s.

--- a/core/forwarding/forwarding.cc
+++ b/core/forwarding/forwarding.cc
@@ -52,7 +52,7 @@
 
 void HandlePublished(forwarding_tables& tables, instance::context& ctx, const io::published_read& event) {
   const published_changes& changes = event.changes;
-  NoteRead(tables.store, ctx, changes);
+  if (!NoteRead(tables.store, ctx, changes)) return;
   for (const std::string& reason : changes.refused)
     instance::LogDecision(ctx, "entry_refused", {{"reason", reason}});
   ApplyRouting(tables, ctx, changes.routing, changes.revision);
--- a/core/forwarding/messages.h
+++ b/core/forwarding/messages.h
@@ -103,6 +103,8 @@
 /// Changes up to a revision, in their order, or a whole list.
 struct published_changes {
   published_kind kind = published_kind::kServers;
+  /// Number of the read that found them.
+  std::uint64_t read = 0;
   /// Everything of this kind; what is not in it is gone.
   bool whole = false;
   std::uint64_t revision = 0;
@@ -117,6 +119,7 @@
 
 struct published_read_failed {
   published_kind kind = published_kind::kServers;
+  std::uint64_t read = 0;
   /// The history after the revision asked for is no longer available.
   bool history_lost = false;
   std::string reason;
--- a/core/forwarding/store_reader.cc
+++ b/core/forwarding/store_reader.cc
@@ -6,9 +6,9 @@
 namespace limpetrouter::core::forwarding {
 namespace {
 
-/// How long the service holds a watch without changes. A connection that fell silent is noticed after this time, which
-/// leaves room within the three seconds in which a change must be in force for most deployments.
-constexpr base::duration kWatchTime = std::chrono::seconds(4);
+/// How long the service holds a watch without changes. A watch that the service has forgotten, or whose connection fell
+/// silent, hides changes for as long, and they must be in force within about three seconds.
+constexpr base::duration kWatchTime = std::chrono::milliseconds(2'500);
 /// Pause between two watches, so that changes that come together cost one call.
 constexpr base::duration kWatchPause = std::chrono::milliseconds(250);
 constexpr base::duration kFirstRetry = std::chrono::milliseconds(150);
@@ -21,17 +21,26 @@
   return delay / 2 + base::duration(base::NextBelow(random, static_cast<std::uint64_t>(delay.count() / 2 + 1)));
 }
 
-void StartRead(reader& each, published_kind kind, instance::context& ctx) {
+void StartRead(store_reader& store, published_kind kind, instance::context& ctx) {
+  reader& each = ReaderOf(store, kind);
   each.started = ctx.now;
+  each.read = store.next_read++;
   if (each.needs_list) {
     each.state = reader_state::kListing;
-    ctx.out.emplace_back(io::list_published{kind, !each.needs_fresh_list});
+    ctx.out.emplace_back(io::list_published{kind, each.read, !each.needs_fresh_list});
   } else {
     each.state = reader_state::kWatching;
-    ctx.out.emplace_back(io::watch_published{kind, each.revision, kWatchTime});
+    ctx.out.emplace_back(io::watch_published{kind, each.read, each.revision, kWatchTime});
   }
 }
 
+/// Lists anew within a short time, so that the instances do not all read at once.
+void ListAfterLoss(reader& each, instance::context& ctx) {
+  each.state = reader_state::kIdle;
+  each.needs_list = each.needs_fresh_list = true;
+  each.next_read = ctx.now + base::duration(base::NextBelow(ctx.random, kFirstRetry.count()));
+}
+
 }  // namespace
 
 std::string_view ToString(published_kind kind) { return kind == published_kind::kRouting ? "routing" : "servers"; }
@@ -42,13 +51,14 @@
 
 void RunReaders(store_reader& store, instance::context& ctx) {
   for (const published_kind kind : {published_kind::kRouting, published_kind::kServers}) {
-    reader& each = ReaderOf(store, kind);
-    if (each.state == reader_state::kIdle && ctx.now >= each.next_read) StartRead(each, kind, ctx);
+    const reader& each = ReaderOf(store, kind);
+    if (each.state == reader_state::kIdle && ctx.now >= each.next_read) StartRead(store, kind, ctx);
   }
 }
 
-void NoteRead(store_reader& store, instance::context& ctx, const published_changes& changes) {
+bool NoteRead(store_reader& store, instance::context& ctx, const published_changes& changes) {
   reader& each = ReaderOf(store, changes.kind);
+  if (changes.read != each.read || each.state == reader_state::kIdle) return false;
   each.state = reader_state::kIdle;
   if (each.failures > 0) {
     instance::LogDecision(ctx, "store_regained",
@@ -64,14 +74,17 @@
   if (!each.needs_list) each.needs_fresh_list = false;
   each.revision = std::max(each.revision, changes.revision);
   each.next_read = changes.whole ? ctx.now : ctx.now + kWatchPause;
+  return true;
 }
 
 void NoteReadFailed(store_reader& store, instance::context& ctx, const published_read_failed& failed) {
   reader& each = ReaderOf(store, failed.kind);
+  if (failed.read != each.read || each.state == reader_state::kIdle) return;
   each.state = reader_state::kIdle;
   if (failed.history_lost) {
-    each.needs_list = each.needs_fresh_list = true;
-    each.next_read = ctx.now + base::duration(base::NextBelow(ctx.random, kFirstRetry.count()));
+    // The service has one history: what the other watches wait for is lost too, though they may not be told.
+    for (reader& other : store.readers)
+      ListAfterLoss(other, ctx);
   } else {
     ++each.failures;
     if (each.needs_list) each.needs_fresh_list = !each.needs_fresh_list;
@@ -85,8 +98,10 @@
 }
 
 void ReadAgain(store_reader& store, base::time_point now) {
-  for (reader& each : store.readers)
+  for (reader& each : store.readers) {
+    each.state = reader_state::kIdle;
     each.next_read = now;
+  }
 }
 
 }  // namespace limpetrouter::core::forwarding
--- a/core/forwarding/store_reader.h
+++ b/core/forwarding/store_reader.h
@@ -20,6 +20,8 @@
   /// The history after our revision is lost, or the last list failed: the list must not be a stale one.
   bool needs_fresh_list = false;
   std::uint64_t revision = 0;
+  /// The read that is waited for; the results of earlier ones come too late.
+  std::uint64_t read = 0;
   base::time_point next_read{};
   base::time_point started{};
   std::uint32_t failures = 0;
@@ -28,6 +30,7 @@
 };
 
 struct store_reader {
+  std::uint64_t next_read = 1;
   std::array<reader, 2> readers;
 };
 
@@ -36,10 +39,10 @@
 
 /// Starts the reads that are due.
 void RunReaders(store_reader& store, instance::context& ctx);
-/// A read ended with changes, which may be none.
-void NoteRead(store_reader& store, instance::context& ctx, const published_changes& changes);
+/// A read ended with changes, which may be none. Returns false if the read was given up before.
+bool NoteRead(store_reader& store, instance::context& ctx, const published_changes& changes);
 void NoteReadFailed(store_reader& store, instance::context& ctx, const published_read_failed& failed);
-/// Reads again at once, because the process was paused.
+/// Gives up the reads that run and reads again at once, because the process was paused.
 void ReadAgain(store_reader& store, base::time_point now);
 
 }  // namespace limpetrouter::core::forwarding
