--- a/core/forwarding/server_choice.cc
+++ b/core/forwarding/server_choice.cc
@@ -9,7 +9,7 @@
 using std::chrono::milliseconds;
 
 /// A server of another data centre must promise to be this much of a usual call faster: half of the slots busy more.
-constexpr double kOtherDataCentreCost = 0.5;
+constexpr double kOtherDataCentreCost = 2.0;
 /// A report of the work of other callers loses its weight within this time.
 constexpr double kLoadLifetimeUs = 400'000;
 /// Without new samples a slow server is taken for a usual one again after about this time, and gets a call.
