Hold a call back rather than queue it deeply at a backend server

Now a server with twice its slots of work counts as full, by its load report and our own calls; the part waits here and the answer states its coverage.

--- a/core/forwarding/server_choice.cc
+++ b/core/forwarding/server_choice.cc
@@ -111,7 +111,7 @@
     if (!IsUsable(each, rules, now)) continue;
     // After an ejection one call at a time shows whether the server works again.
     const std::uint32_t room = each.ejections > 0 ? 1 : rules.max_running;
-    const bool full = each.running.size() >= room;
+    const bool full = each.running.size() >= room || EstimateWork(each, now) >= rules.max_work * each.record.slots;
     const bool busy =
         rules.needs_free_slot && (EstimateWork(each, now) >= each.record.slots || OverdueOf(each, now) > 0);
     if (full || busy) {
--- a/core/forwarding/server_choice.h
+++ b/core/forwarding/server_choice.h
@@ -14,6 +14,8 @@
   base::data_centre_id own_data_centre;
   /// Calls that this instance may have at one server at a time.
   std::uint32_t max_running = 1;
+  /// Work that a server may have, in multiples of its slots; more would wait there longer than it is worth.
+  double max_work = 2;
   /// A repeated send takes a server only if it has a free slot.
   bool needs_free_slot = false;
   /// The call must not be lost, so a server on trial is the last resort.
