--- /dev/null
+++ b/tests/core/forwarding/forwarding_world.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/forwarding/forwarding.h"
+#include "core/forwarding/requests.h"
+#include "core/instance/context.h"
+
+namespace limpetrouter::core::forwarding {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// An instance's forwarding tables on a virtual clock, with a route and backend servers of the test's choice.
+struct forwarding_world {
+  forwarding_tables tables;
+  membership::member_table members;
+  membership::placement placement;
+  membership::fact_table facts;
+  base::random_source random{7};
+  base::time_point now{seconds(1'000)};
+  io::command_list out;
+  std::uint64_t next_handle = 1;
+  std::uint64_t revision = 1;
+
+  forwarding_world() {
+    tables.enabled = true;
+    members.self.ref.id = base::instance_id("10.0.0.1");
+    members.self.data_centre = base::data_centre_id("a");
+    members.self.http_address = "10.0.0.1:80";
+  }
+
+  instance::context Context() { return {now, nullptr, members, placement, facts, random, out}; }
+
+  /// A plain route to service "single", or a sharded one over "shard0", "shard1", ... if `shards` is not 0.
+  static route MakeRoute(repetition repeat, std::size_t shards = 0) {
+    route made;
+    made.name = "r";
+    made.host = "h";
+    made.prefix = "/p/";
+    made.repeat = repeat;
+    made.timeout = seconds(2);
+    made.target_latency = milliseconds(200);
+    made.max_attempts = 2;
+    made.merged_records = 3;
+    made.record_bytes = 4;
+    made.minimum_coverage = 0.75;
+    for (std::size_t i = 0; i < shards; ++i)
+      made.shards.emplace_back("shard" + std::to_string(i));
+    if (shards == 0) made.split.push_back({base::service_id("single"), 1});
+    return made;
+  }
+
+  void SetRoute(route made) {
+    auto table = std::make_shared<routing_table>();
+    table->version = tables.routing == nullptr ? 1 : tables.routing->version + 1;
+    table->routes.push_back(std::move(made));
+    tables.routing = table;
+  }
+
+  static server_record MakeServer(const std::string& id, const std::string& service, const std::string& data_centre) {
+    server_record record;
+    record.id = base::backend_server_id(id);
+    record.service = base::service_id(service);
+    record.address = "10.1.0.1:" + std::to_string(1'000 + id.size() * 100 + static_cast<unsigned char>(id.back()));
+    record.data_centre = base::data_centre_id(data_centre);
+    record.slots = 2;
+    return record;
+  }
+
+  void AddServers(std::vector<server_record> records) {
+    published_changes changes;
+    changes.revision = revision;
+    for (server_record& record : records) {
+      record.revision = ++revision;
+      changes.servers.push_back(std::move(record));
+    }
+    changes.revision = revision;
+    ApplyRecords(tables.servers, changes, now);
+  }
+
+  base::reply_handle Send(std::optional<base::duration> patience = {}) {
+    auto content = std::make_shared<request>();
+    content->method = "GET";
+    content->target = "/p/x?" + std::to_string(next_handle);
+    content->path = "/p/x";
+    content->host = "h";
+    content->attempt = "attempt" + std::to_string(next_handle);
+    content->patience = patience;
+    content->received = now;
+    const base::reply_handle handle(next_handle++);
+    instance::context ctx = Context();
+    AcceptRequest(tables, ctx, {handle, content});
+    return handle;
+  }
+
+  void End(const io::start_call& call, call_result result) {
+    instance::context ctx = Context();
+    EndCall(tables, ctx, {call.call, std::move(result)});
+  }
+  static call_result Served(std::string body = "") {
+    call_result result;
+    result.executed = base::executed_state::kYes;
+    result.status = 200;
+    result.signature = "s";
+    result.body = std::move(body);
+    return result;
+  }
+  static call_result Failed(base::error_kind kind, base::executed_state executed) {
+    call_result result;
+    result.failure = kind;
+    result.executed = executed;
+    return result;
+  }
+
+  void Run(base::duration time) {
+    const base::time_point end = now + time;
+    while (now < end) {
+      now += milliseconds(5);
+      instance::context ctx = Context();
+      RunRequests(tables, ctx);
+    }
+  }
+
+  /// Commands of one kind since the last time, in their order.
+  template <class Command>
+  std::vector<Command> Take() {
+    std::vector<Command> taken;
+    std::erase_if(out, [&taken](io::command& command) {
+      auto* const found = std::get_if<Command>(&command);
+      if (found == nullptr) return false;
+      taken.push_back(std::move(*found));
+      return true;
+    });
+    return taken;
+  }
+  std::vector<io::start_call> TakeCalls() { return Take<io::start_call>(); }
+  std::vector<io::reply_forwarded> TakeReplies() { return Take<io::reply_forwarded>(); }
+};
+
+}  // namespace limpetrouter::core::forwarding
