--- /dev/null
+++ b/tests/platform/configuration_codec_test.cc
@@ -0,0 +1,94 @@
+#include "platform/configuration_codec.h"
+
+#include <catch2/catch.hpp>
+
+namespace limpetrouter::platform {
+namespace {
+
+using core::forwarding::repetition;
+
+constexpr const char* kConfiguration = R"({"configVersion":7,"routes":[
+  {"name":"s","hostname":"h","prefix":"/s/","routeKind":"idempotent","timeoutMs":500,"targetLatencyMs":80,"priority":2,
+   "fanout":["a","b"],"maxAttempts":2,"topK":5,"minCoverage":0.75},
+  {"name":"p","hostname":"h","prefix":"/p/","routeKind":"non_idempotent","timeoutMs":5000,
+   "trafficSplit":[{"service":"c","weight":3},{"service":"d","weight":0}],"maxAttempts":2}],
+  "services":[{"name":"a","healthPath":"/health","maxConns":41,"protocol":"h1","tls":false}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"new":1})";
+
+// Guards against a field of the operators that is read into the wrong place.
+TEST_CASE("a configuration is read field by field") {
+  const auto table = DecodeConfiguration(kConfiguration);
+  REQUIRE(table.has_value());
+  CHECK(table->version == 7);
+  REQUIRE(table->routes.size() == 2);
+  const auto& sharded = table->routes[0];
+  CHECK(sharded.repeat == repetition::kIdempotent);
+  CHECK(sharded.timeout == std::chrono::milliseconds(500));
+  CHECK(sharded.target_latency == std::chrono::milliseconds(80));
+  CHECK(sharded.shards.size() == 2);
+  CHECK(sharded.merged_records == 5);
+  CHECK(sharded.record_bytes == 16);
+  CHECK(sharded.minimum_coverage == 0.75);
+  const auto& plain = table->routes[1];
+  CHECK(plain.repeat == repetition::kAtMostOnce);
+  REQUIRE(plain.split.size() == 1);
+  CHECK(plain.split[0].service.value == "c");
+  CHECK(plain.split[0].weight == 3);
+  CHECK(table->services.at(core::base::service_id("a")).max_connections == 41);
+  CHECK(table->limits.max_body_bytes == 262'144);
+}
+
+// Guards against a configuration that is in force in parts, and against a kind that is not known being repeated.
+TEST_CASE("a faulty configuration is refused whole, and an unknown kind is not repeated") {
+  struct row {
+    std::string from, to;
+    bool valid;
+  };
+  const auto r = GENERATE(values<row>({{"\"configVersion\":7", "\"configVersion\":\"7\"", false},
+                                       {"\"configVersion\":7,", "", false},
+                                       {"\"prefix\":\"/p/\",", "", false},
+                                       {"\"timeoutMs\":5000", "\"timeoutMs\":-1", false},
+                                       {"\"fanout\":[\"a\",\"b\"]", "\"fanout\":[1]", false},
+                                       {"non_idempotent", "something_new", true}}));
+  std::string text = kConfiguration;
+  text.replace(text.find(r.from), r.from.size(), r.to);
+  const auto table = DecodeConfiguration(text);
+  INFO(text);
+  REQUIRE(table.has_value() == r.valid);
+  if (r.valid) CHECK(table->routes[1].repeat == repetition::kAtMostOnce);
+}
+
+// Guards against entries of other writers that name a backend server which is none.
+TEST_CASE("an entry that no backend server wrote names none") {
+  const std::string whole =
+      R"({"service":"a","address":"10.0.0.9:8080","zone":"z","configVersion":"v1","slots":5,"state":"ready",)"
+      R"("coldLeftMs":1500,"seq":4,"born":1768958717043})";
+  struct row {
+    std::string from, to;
+    bool valid;
+  };
+  const auto r = GENERATE(values<row>({{"\"ready\"", "\"ready\"", true},
+                                       {"\"ready\"", "\"draining\"", true},
+                                       {"\"ready\"", "\"busy\"", false},
+                                       {"\"ready\"", "1", false},
+                                       {"\"slots\":5", "\"slots\":\"5\"", false},
+                                       {"\"slots\":5,", "", false},
+                                       {"10.0.0.9:8080", "nowhere", false},
+                                       {"\"service\":\"a\",", "", false},
+                                       {"1768958717043", "1768958717043.5", false},
+                                       {"}", "", false}}));
+  std::string text = whole;
+  text.replace(text.find(r.from), r.from.size(), r.to);
+  INFO(text);
+  const auto record = DecodeServer("i-1", text, 12);
+  REQUIRE(record.has_value() == r.valid);
+  if (!r.valid) return;
+  CHECK(record->id.value == "i-1");
+  CHECK(record->revision == 12);
+  CHECK(record->incarnation == 1'768'958'717'043);
+  CHECK(record->cold_left == std::chrono::milliseconds(1'500));
+  CHECK(record->draining == (r.to == "\"draining\""));
+}
+
+}  // namespace
+}  // namespace limpetrouter::platform
--- /dev/null
+++ b/tests/platform/request_codec_test.cc
@@ -0,0 +1,205 @@
+#include "platform/request_codec.h"
+
+#include <catch2/catch.hpp>
+
+namespace limpetrouter::platform {
+namespace {
+
+using core::base::error_kind;
+using core::base::executed_state;
+using shell::http_headers;
+using shell::transfer_outcome;
+
+shell::http_request MakeRequest(http_headers headers) {
+  shell::http_request request;
+  request.method = "GET";
+  request.target = "/p/x?y";
+  request.path = "/p/x";
+  request.headers = std::move(headers);
+  return request;
+}
+
+// Guards against fields of one connection that travel on, and against callers that set the fields of this system.
+TEST_CASE("a request keeps its own fields only") {
+  const auto request = DecodeRequest(MakeRequest({{"Host", "h"},
+                                                  {"X-Attempt-Id", "a1"},
+                                                  {"X-Deadline-Ms", "600"},
+                                                  {"X-Expect-Instance", "i-evil"},
+                                                  {"Connection", "keep-alive, X-Hop"},
+                                                  {"X-Hop", "1"},
+                                                  {"Content-Length", "0"},
+                                                  {"Accept", "x/y"},
+                                                  {"X-Own", "v"}}));
+  REQUIRE(request.has_value());
+  CHECK(request->attempt == "a1");
+  CHECK(request->patience == std::chrono::milliseconds(600));
+  CHECK(request->headers == http_headers{{"Accept", "x/y"}, {"X-Own", "v"}});
+  core::io::start_call call;
+  call.server = core::base::backend_server_id("i-1");
+  call.address = "10.0.0.1:80";
+  call.request = std::make_shared<const core::forwarding::request>(*request);
+  call.remaining = std::chrono::microseconds(123'900);
+  const shell::transfer_request transfer = EncodeCall(call);
+  CHECK(transfer.target == "/p/x?y");
+  CHECK(*shell::FindHeader(transfer.headers, "x-expect-instance") == "i-1");
+  CHECK(*shell::FindHeader(transfer.headers, "x-deadline-ms") == "123");
+  CHECK(shell::CountHeader(transfer.headers, "host") == 1);
+}
+
+// Guards against requests whose answers could not be matched.
+TEST_CASE("a request without one id of its own is refused") {
+  const auto headers =
+      GENERATE(values<http_headers>({{{"Host", "h"}},
+                                     {{"Host", "h"}, {"X-Attempt-Id", ""}},
+                                     {{"Host", "h"}, {"X-Attempt-Id", "a"}, {"x-attempt-id", "b"}},
+                                     {{"Host", "h"}, {"X-Attempt-Id", "a"}, {"X-Deadline-Ms", "-1"}},
+                                     {{"Host", "h"}, {"X-Attempt-Id", "a"}, {"X-Deadline-Ms", "1s"}}}));
+  const auto request = DecodeRequest(MakeRequest(headers));
+  REQUIRE_FALSE(request.has_value());
+  CHECK(request.error().kind == error_kind::kInvalidRequest);
+}
+
+// Guards against an answer to another request, a damaged one, or one of another program taken for the backend server's,
+// and against a promise "has not run" without its word.
+TEST_CASE("an answer counts only if it is whole, signed and for this request") {
+  struct row {
+    transfer_outcome outcome;
+    bool sent;
+    int status;
+    http_headers headers;
+    std::optional<error_kind> failure;
+    executed_state executed;
+  };
+  const http_headers good = {{"x-attempt-id", "a1"}, {"X-Server-Stamp", "s"}};
+  const auto with = [&good](const std::string& name, const std::string& value) {
+    http_headers changed = good;
+    changed.emplace_back(name, value);
+    return changed;
+  };
+  const auto r = GENERATE_COPY(values<row>({
+      {transfer_outcome::kAnswered, true, 200, good, {}, executed_state::kYes},
+      {transfer_outcome::kAnswered, true, 500, good, {}, executed_state::kYes},
+      {transfer_outcome::kAnswered,
+       true,
+       200,
+       {{"X-Attempt-Id", "a2"}, {"X-Server-Stamp", "s"}},
+       error_kind::kAnswerMismatched,
+       executed_state::kUnknown},
+      {transfer_outcome::kAnswered,
+       true,
+       200,
+       {{"X-Server-Stamp", "s"}},
+       error_kind::kAnswerMismatched,
+       executed_state::kUnknown},
+      {transfer_outcome::kAnswered,
+       true,
+       200,
+       {{"X-Attempt-Id", "a1"}},
+       error_kind::kAnswerMismatched,
+       executed_state::kUnknown},
+      {transfer_outcome::kAnswered, true, 200, with("Content-Encoding", "gzip"), error_kind::kAnswerMalformed,
+       executed_state::kUnknown},
+      {transfer_outcome::kAnswered, true, 503, with("X-Not-Executed", "1"), error_kind::kBackendShed,
+       executed_state::kNo},
+      {transfer_outcome::kAnswered,
+       true,
+       503,
+       {{"X-Not-Executed", "1"}},
+       error_kind::kBackendShed,
+       executed_state::kNo},
+      {transfer_outcome::kAnswered,
+       true,
+       503,
+       {{"X-Attempt-Id", "a2"}, {"X-Not-Executed", "1"}},
+       error_kind::kAnswerMismatched,
+       executed_state::kUnknown},
+      {transfer_outcome::kAnswered,
+       true,
+       421,
+       {{"X-Instance-Id", "i-2"}},
+       error_kind::kBackendReplaced,
+       executed_state::kNo},
+      {transfer_outcome::kConnectFailed, false, 0, {}, error_kind::kConnectFailed, executed_state::kNo},
+      {transfer_outcome::kLost, true, 0, {}, error_kind::kConnectionLost, executed_state::kUnknown},
+      {transfer_outcome::kTruncated, true, 200, good, error_kind::kAnswerTruncated, executed_state::kUnknown},
+      {transfer_outcome::kMalformed, true, 0, {}, error_kind::kAnswerMalformed, executed_state::kUnknown},
+      {transfer_outcome::kDeadline, false, 0, {}, error_kind::kDeadlineExceeded, executed_state::kNo},
+      {transfer_outcome::kDeadline, true, 0, {}, error_kind::kDeadlineExceeded, executed_state::kUnknown},
+  }));
+  core::forwarding::request request;
+  request.attempt = "a1";
+  shell::transfer_result ended;
+  ended.outcome = r.outcome;
+  ended.bytes_sent = r.sent;
+  ended.status = r.status;
+  ended.headers = r.headers;
+  const core::forwarding::call_result result = DecodeResult(request, std::move(ended));
+  INFO(ToString(r.outcome) << " " << r.status);
+  CHECK(result.failure == r.failure);
+  CHECK(result.executed == r.executed);
+}
+
+// Guards against load reports and idle times that are taken from damaged text.
+TEST_CASE("load and idle time are read from well-formed fields only") {
+  struct row {
+    std::string load, keep_alive;
+    std::optional<double> slowdown;
+    std::optional<core::base::duration> idle;
+  };
+  const auto r = GENERATE(values<row>({{"3,1,8", "timeout=5", 1.0, std::chrono::seconds(5)},
+                                       {"3,1,8,250", "timeout=5, max=9", 2.5, std::chrono::seconds(5)},
+                                       {"3,1", "timeout=x", {}, {}},
+                                       {"3,-1,8", "5", {}, {}},
+                                       {"", "", {}, {}}}));
+  core::forwarding::request request;
+  request.attempt = "a1";
+  shell::transfer_result ended;
+  ended.outcome = transfer_outcome::kAnswered;
+  ended.headers = {{"X-Attempt-Id", "a1"}, {"X-Server-Load", r.load}, {"Keep-Alive", r.keep_alive}};
+  const core::forwarding::call_result result = DecodeResult(request, std::move(ended));
+  CHECK(result.load.has_value() == r.slowdown.has_value());
+  if (result.load.has_value()) CHECK(result.load->slowdown == *r.slowdown);
+  CHECK(result.keep_alive == r.idle);
+}
+
+// Guards against an answer of our own that carries a backend server's proof, and against hidden missing parts.
+TEST_CASE("answers name their parts, failures name none") {
+  core::forwarding::request request;
+  request.attempt = "a1";
+  core::forwarding::answer merged;
+  merged.merged = true;
+  merged.signatures = {"s1", "s2"};
+  merged.missing_parts = 1;
+  const shell::http_answer whole = EncodeAnswer(&request, std::move(merged));
+  CHECK(whole.status == 200);
+  CHECK(*shell::FindHeader(whole.headers, "X-Part-Stamps") == "s1, s2");
+  CHECK(*shell::FindHeader(whole.headers, "X-Missing-Parts") == "1");
+  core::forwarding::answer refusal;
+  refusal.status = 503;
+  refusal.failure = core::base::error{error_kind::kOverloaded, "full"};
+  refusal.executed = executed_state::kNo;
+  refusal.retry_after = std::chrono::milliseconds(250);
+  const shell::http_answer refused = EncodeAnswer(&request, std::move(refusal));
+  CHECK(*shell::FindHeader(refused.headers, "Retry-After") == "0.250");
+  CHECK(shell::FindHeader(refused.headers, "X-Server-Stamp") == nullptr);
+}
+
+// Guards against callers that are sent to nowhere because their question is not understood.
+TEST_CASE("questions for addresses and readiness are recognised") {
+  shell::http_request question = MakeRequest({});
+  question.path = "/resolve";
+  question.target = "/resolve?name=h&region=r&zone=z%2D1";
+  CHECK(DecodeAddressQuestion(question)->value == "z-1");
+  question.target = "/resolve";
+  CHECK(DecodeAddressQuestion(question)->value.empty());
+  question.path = "/other";
+  CHECK_FALSE(DecodeAddressQuestion(question).has_value());
+  question.path = "/ready";
+  CHECK(IsReadinessQuestion(question));
+  const shell::http_answer answer =
+      EncodeAddresses({core::base::reply_handle(1), {"10.0.0.1:80"}, std::chrono::seconds(2)});
+  CHECK(answer.body == R"({"addrs":["10.0.0.1:80"],"ttl_s":2})");
+}
+
+}  // namespace
+}  // namespace limpetrouter::platform
--- /dev/null
+++ b/tests/platform/store_client_test.cc
@@ -0,0 +1,115 @@
+#include "platform/store_client.h"
+
+#include <catch2/catch.hpp>
+
+#include "scripted_server.h"
+
+namespace limpetrouter::platform {
+namespace {
+
+using core::forwarding::published_kind;
+using shell::HttpAnswer;
+
+/// A client of a store that answers as its script says.
+struct store_world {
+  shell::scripted_server server;
+  shell::transfer_pool pool;
+  std::mutex mutex;
+  std::vector<core::io::event> events;
+  store_client client;
+
+  explicit store_world(shell::scripted_server::script script)
+      : server(std::move(script)),
+        client(server.Address(), {&pool,
+                                  [this](core::io::event event) {
+                                    const std::lock_guard lock(mutex);
+                                    events.push_back(std::move(event));
+                                  },
+                                  [](std::size_t) {}}) {}
+  ~store_world() { pool.Stop(); }
+
+  core::io::event Await() {
+    REQUIRE(shell::Eventually([this] {
+      const std::lock_guard lock(mutex);
+      return !events.empty();
+    }));
+    const std::lock_guard lock(mutex);
+    return events.front();
+  }
+};
+
+// {"service":"a","address":"10.0.0.9:80","zone":"z","slots":5,"state":"ready"}
+constexpr const char* kServerValue =
+    "eyJzZXJ2aWNlIjoiYSIsImFkZHJlc3MiOiIxMC4wLjAuOTo4MCIsInpvbmUiOiJ6Iiwic2xvdHMiOjUsInN0YXRlIjoicmVhZHkifQ==";
+
+std::string Item(const std::string& key, int revision, const std::string& value) {
+  return R"({"key":")" + key + R"(","revision":)" + std::to_string(revision) + R"(,"value":")" + value + R"("})";
+}
+
+// Guards against servers of later pages that are lost, and against entries that cannot be read hiding good ones.
+TEST_CASE("a list is read page by page") {
+  store_world world([](const std::string& request) -> shell::scripted_reply {
+    if (request.find("after=servers/i-1") == std::string::npos) {
+      return {HttpAnswer(200, R"({"items":[)" + Item("servers/i-0", 3, "!!") + "," +
+                                  Item("servers/i-1", 4, kServerValue) + R"(],"hasMore":true,"currentRev":9})")};
+    }
+    return {HttpAnswer(
+        200, R"({"items":[7,)" + Item("servers/i-2", 5, kServerValue) + R"(],"hasMore":false,"currentRev":12})")};
+  });
+  world.client.List({published_kind::kServers, 5, true});
+  const core::io::event event = world.Await();
+  const auto& changes = std::get<core::io::published_read>(event).changes;
+  CHECK(changes.whole);
+  CHECK(changes.read == 5);
+  CHECK(changes.revision == 9);
+  REQUIRE(changes.servers.size() == 2);
+  CHECK(changes.servers[1].id.value == "i-2");
+  CHECK(changes.refused.size() == 2);
+  CHECK(world.server.Requests().at(0).find("serializable=1") != std::string::npos);
+}
+
+// Guards against a lost history, a refusal or a damaged answer that passes for "no changes".
+TEST_CASE("a watch tells changes, a lost history and failures apart") {
+  struct row {
+    std::string answer;
+    bool succeeds;
+    bool history_lost;
+  };
+  const auto r = GENERATE(values<row>({{HttpAnswer(200, R"({"events":[],"currentRev":20})"), true, false},
+                                       {HttpAnswer(410, "{}"), false, true},
+                                       {HttpAnswer(503, "{}"), false, false},
+                                       {HttpAnswer(429, "{}"), false, false},
+                                       {HttpAnswer(200, R"({"events":[]})"), false, false},
+                                       {HttpAnswer(200, R"({"events":{},"currentRev":20})"), false, false},
+                                       {HttpAnswer(200, "[]"), false, false},
+                                       {"nonsense", false, false}}));
+  store_world world([&r](const std::string&) -> shell::scripted_reply { return {r.answer, true}; });
+  world.client.Watch({published_kind::kServers, 1, 10, std::chrono::milliseconds(100)});
+  const core::io::event event = world.Await();
+  INFO(r.answer);
+  REQUIRE(std::holds_alternative<core::io::published_read>(event) == r.succeeds);
+  if (!r.succeeds) CHECK(std::get<core::io::published_read_failed>(event).failed.history_lost == r.history_lost);
+}
+
+// Guards against a server that is taken for gone, or for present, against the order of events.
+TEST_CASE("the last event of a server counts") {
+  const std::string gone = R"({"key":"servers/i-1","revision":12,"deleted":true})";
+  const std::string there = Item("servers/i-1", 11, kServerValue);
+  struct row {
+    std::string events;
+    std::size_t servers;
+    std::size_t removed;
+  };
+  const auto r = GENERATE_COPY(values<row>({{there + "," + gone, 0, 1}, {gone + "," + there, 1, 0}}));
+  store_world world([&r](const std::string&) -> shell::scripted_reply {
+    return {HttpAnswer(200, R"({"events":[)" + r.events + R"(],"currentRev":13})")};
+  });
+  world.client.Watch({published_kind::kServers, 1, 10, std::chrono::milliseconds(100)});
+  const core::io::event event = world.Await();
+  const auto& changes = std::get<core::io::published_read>(event).changes;
+  CHECK(changes.servers.size() == r.servers);
+  CHECK(changes.removed.size() == r.removed);
+}
+
+}  // namespace
+}  // namespace limpetrouter::platform
--- /dev/null
+++ b/tests/shell/http_request_parser_test.cc
@@ -0,0 +1,88 @@
+#include "shell/http_request_parser.h"
+
+#include <catch2/catch.hpp>
+
+#include "core/base/random.h"
+
+namespace limpetrouter::shell {
+namespace {
+
+constexpr request_limits kLimits{200, 20};
+
+// Guards against requests that this server and a backend server would divide differently (request smuggling).
+TEST_CASE("an ambiguous request is refused") {
+  struct row {
+    std::string input;
+    parse_state state;
+  };
+  const auto r = GENERATE(values<row>({
+      {"GET /a HTTP/1.1\r\nHost: h\r\n\r\n", parse_state::kWhole},
+      {"GET /a HTTP/1.1\r\nHost: h\r\n", parse_state::kNeedsMore},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nab", parse_state::kNeedsMore},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc", parse_state::kMalformed},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc", parse_state::kMalformed},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3, 3\r\n\r\nabc", parse_state::kMalformed},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       parse_state::kMalformed},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", parse_state::kMalformed},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+       parse_state::kMalformed},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked\r\n\r\n", parse_state::kMalformed},
+      {"GET /a HTTP/1.1\nHost: h\n\n\r\n\r\n", parse_state::kMalformed},
+      {"GET /a HTTP/1.1\r\nHost: h\r\nX: a\nY: b\r\n\r\n", parse_state::kMalformed},
+      {"GET /a HTTP/1.1\r\nHost: h\r\nX: a\r\n folded\r\n\r\n", parse_state::kMalformed},
+      {"GET http://h/a HTTP/1.1\r\nHost: h\r\n\r\n", parse_state::kMalformed},
+      {"GET /a b HTTP/1.1\r\nHost: h\r\n\r\n", parse_state::kMalformed},
+      {"GET /a HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n", parse_state::kMalformed},
+      {"GET /a HTTP/1.1\r\n\r\n", parse_state::kMalformed},
+      {"GET /a HTTP/2.0\r\nHost: h\r\n\r\n", parse_state::kMalformed},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 21\r\n\r\n", parse_state::kBodyTooLarge},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n15\r\n", parse_state::kBodyTooLarge},
+      {"GET /" + std::string(300, 'a') + " HTTP/1.1\r\nHost: h\r\n\r\n", parse_state::kHeaderTooLarge},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", parse_state::kMalformed},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n",
+       parse_state::kMalformed},
+  }));
+  INFO(r.input);
+  CHECK(ParseRequest(r.input, kLimits).state == r.state);
+}
+
+// Guards against a body, target or field that is changed on the way, and against input of the next request that is
+// lost.
+TEST_CASE("a request is taken as it was sent") {
+  const std::string next = "GET /next HTTP/1.1\r\n";
+  const std::string chunked =
+      "PUT /a/../b?x=%31&y HTTP/1.1\r\nhOsT: h\r\nX-Y:  v w \r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2;ext=1\r\nab\r\n3\r\ncde\r\n0\r\nTrailer: t\r\n\r\n";
+  const parsed_request parsed = ParseRequest(chunked + next, kLimits);
+  REQUIRE(parsed.state == parse_state::kWhole);
+  CHECK(parsed.size == chunked.size());
+  CHECK(parsed.method == "PUT");
+  CHECK(parsed.target == "/a/../b?x=%31&y");
+  CHECK(parsed.body == "abcde");
+  CHECK(*FindHeader(parsed.headers, "host") == "h");
+  CHECK(*FindHeader(parsed.headers, "x-y") == "v w");
+  CHECK_FALSE(parsed.close);
+  const parsed_request last = ParseRequest(
+      "GET /a HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, Close\r\nContent-Length: 2\r\n\r\nab", kLimits);
+  CHECK(last.close);
+  CHECK(last.body == "ab");
+}
+
+// Guards against a crash, and against a request that is whole in one division of the stream and not in another.
+TEST_CASE("every prefix of a request needs more, and random bytes do no harm") {
+  const std::string whole = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+  for (std::size_t n = 0; n < whole.size(); ++n)
+    CHECK(ParseRequest(std::string_view(whole).substr(0, n), kLimits).state == parse_state::kNeedsMore);
+  core::base::random_source random{5};
+  for (int i = 0; i < 20'000; ++i) {
+    std::string text = whole;
+    for (std::uint64_t n = 1 + core::base::NextBelow(random, 4); n > 0; --n)
+      text[core::base::NextBelow(random, text.size())] = static_cast<char>(core::base::NextRandom(random));
+    const parsed_request parsed = ParseRequest(text, kLimits);
+    if (parsed.state == parse_state::kWhole) CHECK(parsed.size <= text.size());
+  }
+}
+
+}  // namespace
+}  // namespace limpetrouter::shell
--- a/tests/shell/http_server_test.cc
+++ b/tests/shell/http_server_test.cc
@@ -183,6 +183,60 @@
   ::close(fd);
 }
 
+/// An opaque server that answers each request with its target and body.
+struct opaque_server {
+  http_server_options options;
+  std::unique_ptr<http_server> server;
+
+  opaque_server() {
+    options.address = FreeAddress();
+    options.opaque = true;
+    server = std::make_unique<http_server>(options, http_observer{[this](reply_handle handle, http_request request) {
+                                                                    http_answer answer;
+                                                                    answer.body = request.target + "|" + request.body;
+                                                                    answer.headers = {{"X-Kept", "1"}};
+                                                                    server->Answer(handle, answer);
+                                                                  },
+                                                                  [](reply_handle) {}});
+    REQUIRE(server->Start().has_value());
+  }
+};
+
+// Guards against a forwarded body that depends on how it was framed, and against callers that cannot tell a refusal.
+TEST_CASE("an opaque server takes any framing and refuses what is too large") {
+  struct row {
+    std::string input;
+    std::string answer;
+  };
+  const auto r = GENERATE(values<row>({
+      {"POST /a?%20 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", "/a?%20|ab"},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab", "/a|ab"},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n", "HTTP/1.1 413"},
+      {"GET /" + std::string(20'000, 'a'), "HTTP/1.1 431"},
+      {"GET  HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 400"},
+  }));
+  opaque_server opaque;
+  const int fd = ConnectTo(opaque.options.address);
+  SendText(fd, r.input);
+  CHECK(ReadUntil(fd, r.answer).find(r.answer) != std::string::npos);
+  ::close(fd);
+}
+
+// Guards against callers that stay on an instance that shuts down, and against a request that is read and dropped:
+// once a closing answer has left, later requests of the connection are not read.
+TEST_CASE("a server that closes its connections says so and reads nothing after it") {
+  opaque_server opaque;
+  const int fd = ConnectTo(opaque.options.address);
+  SendText(fd, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(ReadUntil(fd, "/a|").find("Connection: keep-alive") != std::string::npos);
+  opaque.server->CloseConnections();
+  SendText(fd, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(ReadUntil(fd, "/b|").find("Connection: close") != std::string::npos);
+  SendText(fd, "GET /c HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(ReadSome(fd, 1, milliseconds(300)).empty());
+  ::close(fd);
+}
+
 // Guards against a crash or a hang on damaged requests.
 TEST_CASE("random bytes do not harm the server") {
   held_server held;
--- a/tests/shell/settings_test.cc
+++ b/tests/shell/settings_test.cc
@@ -30,7 +30,11 @@
   const auto r = GENERATE(values<row>({
       {"[log]\nlevel = debug\n", "k1.ini:11: log.level: \"debug\" is not a level (allowed: decisions, info, warning)"},
       {"[log]\nlevle = info\n", "k1.ini:11: log.levle: unknown key (allowed: level)"},
-      {"[logs]\n", "k1.ini:10: logs: unknown section (allowed: advertise, instance, limits, listen, log, platform)"},
+      {"[logs]\n",
+       "k1.ini:10: logs: unknown section (allowed: advertise, forwarding, instance, limits, listen, log, peers, "
+       "platform)"},
+      {"[peers]\nseeds = 10.0.0.1:1, nowhere\n",
+       "k1.ini:11: peers.seeds: \"nowhere\" is not an address (allowed: IP:port, separated by commas)"},
       {"[log\n", "k1.ini:10: [log: section header without a closing bracket (allowed: [name])"},
       {"timeout_ms = 2s\n", "k1.ini:10: platform.timeout_ms: \"2s\" is not an integer (allowed: 10 to 60000)"},
       {"timeout_ms = 5\n", "k1.ini:10: platform.timeout_ms: 5 is out of range (allowed: 10 to 60000)"},
@@ -51,6 +55,25 @@
   CHECK(ToString(read.error().front()) == r.message);
 }
 
+// Guards against a forwarding instance that needs addresses of services which its platform does not have, and against
+// bounds of the platform that are not taken over.
+TEST_CASE("a forwarding instance reads its own section and its seeds") {
+  const settings_result read = ParseSettings(
+      "[instance]\nname = 10.0.0.1\ndata_centre = a\n[listen]\nhttp = 10.0.0.1:1\npeer = 10.0.0.1:2\n"
+      "[peers]\nseeds = 10.0.0.2:8224,10.0.0.3:8224\nport = 7740\n"
+      "[forwarding]\nentry = 10.0.0.1:3\nreadiness = 10.0.0.1:4\ndirectory = 10.0.0.1:5\nstore = 10.9.0.1:6\n"
+      "retry_ratio = 0.25\nretry_window_s = 8\nretry_allowance = 7\nshutdown_grace_s = 2.5\n",
+      "f.ini");
+  REQUIRE(read.has_value());
+  REQUIRE(read->forwarding.has_value());
+  CHECK(read->forwarding->store == "10.9.0.1:6");
+  CHECK(read->forwarding->bounds.retry_ratio == 0.25);
+  CHECK(read->forwarding->bounds.retry_window == std::chrono::seconds(8));
+  CHECK(read->forwarding->bounds.retry_allowance == 7);
+  CHECK(read->forwarding->bounds.shutdown_grace == std::chrono::milliseconds(2'500));
+  CHECK(read->seeds == std::vector<std::string>{"10.0.0.2:7740", "10.0.0.3:7740"});
+}
+
 // Guards against a check that stops at the first fault, which costs an operator one restart per fault.
 TEST_CASE("all missing settings are reported at once") {
   const settings_result read = ParseSettings("", "empty.ini");
