Send callers to the largest instances, and raise an incarnation that the clock set back

Cause: the grown fleets have six instances of half a core and 83 of an eighth; the small ones need over 40 ms of wall time for the 36 calls of a query. The directory now answers the instances of the largest capacity, and smaller ones only if those are few or say that their processor is exhausted. An instance whose clock jumped back before a restart was an old life to the others; it raises its incarnation now.

--- /dev/null
+++ b/core/forwarding/directory.cc
@@ -0,0 +1,119 @@
+#include "core/forwarding/directory.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/membership/fact_table.h"
+
+namespace limpetrouter::core::forwarding {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Short, so that callers soon leave an instance that shuts down.
+constexpr base::duration kAddressValidity = seconds(2);
+constexpr std::size_t kMaxAddresses = 64;
+/// Fewer instances than this are not enough to lose one or two of.
+constexpr std::size_t kMinEntries = 4;
+/// Instances with at least this share of the largest capacity count as equal.
+constexpr double kEqualCapacity = 0.5;
+/// Ticks that are this late on average mean that the processor is exhausted.
+constexpr base::duration kBusyLag = milliseconds(15);
+constexpr double kLagWeight = 0.01;
+/// A smaller number of entries counts after this time.
+constexpr base::duration kEntriesMemory = seconds(5);
+/// The others forget after this time that an instance was busy.
+constexpr base::duration kBusyTime = seconds(3);
+constexpr base::duration kTickInterval = milliseconds(5);
+
+struct candidate {
+  std::string address;
+  bool self = false;
+  std::uint32_t capacity = 0;
+  bool near = false;
+  bool busy = false;
+};
+
+std::vector<candidate> Candidates(const forwarding_tables& tables, const instance::context& ctx,
+                                  const base::data_centre_id& from) {
+  std::vector<candidate> found;
+  const membership::identity& self = ctx.members.self;
+  if (!ctx.leaving && tables.routing != nullptr && tables.servers.known) {
+    found.push_back({self.http_address, true, self.capacity, self.data_centre == from,
+                     membership::IsBusy(ctx.facts, self.ref.id, ctx.now)});
+  }
+  for (const auto& [id, entry] : ctx.members.members) {
+    const bool usable = entry.info.state == peer::member_state::kAlive && entry.info.member.incarnation.value != 0;
+    if (!usable || entry.info.http_address.empty()) continue;
+    found.push_back({entry.info.http_address, false, entry.info.capacity, entry.info.data_centre == from,
+                     membership::IsBusy(ctx.facts, id, ctx.now)});
+  }
+  return found;
+}
+
+/// Keeps the instances of the largest capacity, and of the next one if those do not suffice.
+void KeepLargest(std::vector<candidate>& candidates) {
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const candidate& a, const candidate& b) { return a.capacity > b.capacity; });
+  std::size_t kept = 0;
+  while (kept < candidates.size()) {
+    const double least = kEqualCapacity * candidates[kept].capacity;
+    while (kept < candidates.size() && candidates[kept].capacity >= least)
+      ++kept;
+    const auto busy = static_cast<std::size_t>(std::count_if(candidates.begin(),
+                                                             candidates.begin() + static_cast<std::ptrdiff_t>(kept),
+                                                             [](const candidate& each) { return each.busy; }));
+    if (kept >= kMinEntries && 2 * busy < kept) break;
+  }
+  candidates.resize(kept);
+}
+
+}  // namespace
+
+void UpdateEntries(forwarding_tables& tables, const instance::context& ctx) {
+  std::vector<candidate> candidates = Candidates(tables, ctx, {});
+  KeepLargest(candidates);
+  const bool takes_requests =
+      std::any_of(candidates.begin(), candidates.end(), [](const candidate& each) { return each.self; });
+  // A larger number counts at once. A smaller one waits, because those that are gone may still hold connections.
+  if (candidates.size() < tables.entries && takes_requests == tables.is_entry && ctx.now < tables.entries_until) return;
+  tables.entries = std::max<std::size_t>(candidates.size(), 1);
+  tables.is_entry = takes_requests;
+  tables.entries_until = ctx.now + kEntriesMemory;
+}
+
+base::duration AddressValidity(const forwarding_tables& tables) {
+  return std::min(kAddressValidity, tables.bounds.max_address_validity);
+}
+
+void HandleEntryAddresses(const forwarding_tables& tables, instance::context& ctx,
+                          const io::entry_addresses_requested& event) {
+  std::vector<candidate> candidates = Candidates(tables, ctx, event.data_centre);
+  KeepLargest(candidates);
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const candidate& a, const candidate& b) { return a.near && !b.near; });
+  if (candidates.size() > kMaxAddresses) candidates.resize(kMaxAddresses);
+  io::reply_entry_addresses reply;
+  reply.handle = event.handle;
+  reply.validity = AddressValidity(tables);
+  for (candidate& each : candidates)
+    reply.addresses.push_back(std::move(each.address));
+  ctx.out.emplace_back(std::move(reply));
+}
+
+void RunLoadReport(forwarding_tables& tables, instance::context& ctx) {
+  const base::duration lag = ctx.now - tables.last_tick - kTickInterval;
+  const bool first = tables.last_tick == base::time_point{};
+  tables.last_tick = ctx.now;
+  if (first || lag > seconds(1)) return;
+  tables.tick_lag_us += kLagWeight * (static_cast<double>(lag.count()) - tables.tick_lag_us);
+  if (tables.tick_lag_us < static_cast<double>(kBusyLag.count())) return;
+  if (membership::IsBusy(ctx.facts, ctx.members.self.ref.id, ctx.now)) return;
+  membership::RecordBusy(ctx.facts, ctx.members.self.ref.id, kBusyTime, ctx.now);
+  instance::LogDecision(ctx, "busy", {{"tick_lag_ms", std::to_string(static_cast<int>(tables.tick_lag_us / 1'000))}});
+}
+
+}  // namespace limpetrouter::core::forwarding
--- a/core/forwarding/forwarding.cc
+++ b/core/forwarding/forwarding.cc
@@ -5,15 +5,13 @@
 
 #include <fmt/format.h>
 
+#include "core/forwarding/directory.h"
 #include "core/forwarding/requests.h"
 #include "core/forwarding/retry_budget.h"
 
 namespace limpetrouter::core::forwarding {
 namespace {
 
-/// How long callers keep an address answer: short, so that they soon leave an instance that shuts down.
-constexpr base::duration kAddressValidity = std::chrono::seconds(2);
-constexpr std::size_t kMaxAddresses = 64;
 /// Left of the shutdown grace for the last answers and the end of the process.
 constexpr base::duration kShutdownMargin = std::chrono::milliseconds(700);
 /// Callers that asked just before the shutdown still come until their answer has expired.
@@ -64,29 +62,11 @@
   if (event.failed.kind == published_kind::kServers) NoteContactLost(tables.servers, ctx.now);
 }
 
-void HandleEntryAddresses(const forwarding_tables& tables, instance::context& ctx,
-                          const io::entry_addresses_requested& event) {
-  io::reply_entry_addresses reply;
-  reply.handle = event.handle;
-  reply.validity = std::min(kAddressValidity, tables.bounds.max_address_validity);
-  std::vector<std::string> others;
-  if (!ctx.leaving && IsReady(tables)) reply.addresses.push_back(ctx.members.self.http_address);
-  for (const auto& [id, entry] : ctx.members.members) {
-    const bool usable = entry.info.state == peer::member_state::kAlive && entry.info.member.incarnation.value != 0;
-    if (!usable || entry.info.http_address.empty()) continue;
-    const bool near = entry.info.data_centre == event.data_centre;
-    (near ? reply.addresses : others).push_back(entry.info.http_address);
-  }
-  for (std::string& address : others)
-    reply.addresses.push_back(std::move(address));
-  if (reply.addresses.size() > kMaxAddresses) reply.addresses.resize(kMaxAddresses);
-  ctx.out.emplace_back(std::move(reply));
-}
-
 void HandlePause(forwarding_tables& tables, instance::context& ctx) { ReadAgain(tables.store, ctx.now); }
 
 void RunForwarding(forwarding_tables& tables, instance::context& ctx) {
   if (!tables.enabled) return;
+  RunLoadReport(tables, ctx);
   RunReaders(tables.store, ctx);
   RunRequests(tables, ctx);
   const bool ready = IsReady(tables) && !ctx.leaving;
@@ -95,6 +75,7 @@
   if (ctx.now < tables.next_cleanup) return;
   tables.next_cleanup = ctx.now + kCleanUpInterval;
   UpdateFleetSize(tables, ctx);
+  UpdateEntries(tables, ctx);
   LogChanges(ctx, ExpireMissing(tables.servers, ctx.now));
 }
 
@@ -102,9 +83,7 @@
 
 bool IsIdle(const forwarding_tables& tables) { return tables.requests.empty(); }
 
-base::duration LeaveTime(const forwarding_tables& tables) {
-  return std::min(kAddressValidity, tables.bounds.max_address_validity) + kAddressMargin;
-}
+base::duration LeaveTime(const forwarding_tables& tables) { return AddressValidity(tables) + kAddressMargin; }
 
 base::duration MaxLeaveTime(const forwarding_tables& tables) { return tables.bounds.shutdown_grace - kShutdownMargin; }
 
--- a/core/forwarding/forwarding.h
+++ b/core/forwarding/forwarding.h
@@ -11,9 +11,6 @@
 /// Takes what was read from the platform: a newer configuration, or changes of backend servers.
 void HandlePublished(forwarding_tables& tables, instance::context& ctx, const io::published_read& event);
 void HandlePublishedFailed(forwarding_tables& tables, instance::context& ctx, const io::published_read_failed& event);
-/// Answers the addresses of the instances that take requests.
-void HandleEntryAddresses(const forwarding_tables& tables, instance::context& ctx,
-                          const io::entry_addresses_requested& event);
 /// The process was paused: what it believes is read again.
 void HandlePause(forwarding_tables& tables, instance::context& ctx);
 void RunForwarding(forwarding_tables& tables, instance::context& ctx);
--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -97,6 +97,13 @@
   base::time_point fleet_size_until{};
   base::time_point next_cleanup{};
   bool reported_ready = false;
+  /// Instances that callers are sent to, until when a smaller number does not count, and whether this is one of them.
+  std::size_t entries = 1;
+  base::time_point entries_until{};
+  bool is_entry = true;
+  /// How late ticks are, exponentially weighted.
+  base::time_point last_tick{};
+  double tick_lag_us = 0;
 };
 
 }  // namespace limpetrouter::core::forwarding
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -62,8 +62,9 @@
   const std::uint32_t connections = found == request.table->services.end() ? 0 : found->second.max_connections;
   const std::uint32_t useful = 2 * slots + 1;
   if (connections == 0) return useful;
-  const auto share =
-      static_cast<std::uint32_t>(kConnectionShare * connections / static_cast<double>(tables.fleet_size));
+  // Callers know few other instances; those may still get a request now and then.
+  const auto sharers = static_cast<double>(tables.is_entry ? std::min(tables.entries, tables.fleet_size) : connections);
+  const auto share = static_cast<std::uint32_t>(kConnectionShare * connections / sharers);
   return std::clamp<std::uint32_t>(share, 1, useful);
 }
 
--- a/core/instance/instance.cc
+++ b/core/instance/instance.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "core/entry/entry.h"
+#include "core/forwarding/directory.h"
 #include "core/forwarding/forwarding.h"
 #include "core/forwarding/requests.h"
 #include "core/gather/gather.h"
--- a/core/membership/fact_table.cc
+++ b/core/membership/fact_table.cc
@@ -149,6 +149,17 @@
   return FindLive(table, fact_kind::kRequestWithheld, base::ToHex(fingerprint.value), now) != nullptr;
 }
 
+void RecordBusy(fact_table& table, const base::instance_id& id, base::duration time, base::time_point now) {
+  peer::fact fact;
+  fact.kind = fact_kind::kInstanceBusy;
+  fact.subject = id.value;
+  if (FindLive(table, fact.kind, fact.subject, now) == nullptr) Put(table, fact, time, now);
+}
+
+bool IsBusy(const fact_table& table, const base::instance_id& id, base::time_point now) {
+  return FindLive(table, fact_kind::kInstanceBusy, id.value, now) != nullptr;
+}
+
 void RecordSuspected(fact_table& table, base::fingerprint_id fingerprint, const suspicion& crash, base::duration time,
                      base::time_point now) {
   peer::fact fact;
--- a/core/membership/fact_table.h
+++ b/core/membership/fact_table.h
@@ -53,6 +53,11 @@
 
 bool IsWithheld(const fact_table& table, base::fingerprint_id fingerprint, base::time_point now);
 
+/// Says that the instance has no processor time left, so that callers are sent to others too for `time`.
+void RecordBusy(fact_table& table, const base::instance_id& id, base::duration time, base::time_point now);
+
+bool IsBusy(const fact_table& table, const base::instance_id& id, base::time_point now);
+
 /// A crash of a backend server that a request may have caused.
 struct suspicion {
   /// Hash of the id of the backend server that crashed.
--- a/core/membership/member_change.cc
+++ b/core/membership/member_change.cc
@@ -106,9 +106,19 @@
          update.http_address.size() <= kMaxAddressLength;
 }
 
-/// What others say about this instance. A suspicion is refuted with a higher counter.
+/// What others say about this instance. A life that they take for newer is surpassed; a suspicion is refuted with a
+/// higher counter.
 void MergeSelf(membership_tables& tables, instance::context& ctx, const peer::member_update& update) {
   member_table& table = tables.members;
+  // Incarnations come from the wall clock. One that jumped back before a restart would make this life an old one.
+  if (update.member.incarnation > table.self.ref.incarnation) {
+    table.self.ref.incarnation = base::incarnation_id(update.member.incarnation.value + 1);
+    instance::LogDecision(ctx, "incarnation_raised",
+                          {{"incarnation", std::to_string(table.self.ref.incarnation.value)},
+                           {"known", std::to_string(update.member.incarnation.value)}});
+    AnnounceSoon(tables);
+    return;
+  }
   const bool accused = update.state == member_state::kSuspect || update.state == member_state::kDead;
   if (update.member != table.self.ref || !accused || update.counter < table.self_counter) return;
   table.self_counter = update.counter + 1;
@@ -137,6 +147,7 @@
   if (!update.peer_address.empty()) entry.info.peer_address = update.peer_address;
   if (!update.http_address.empty()) entry.info.http_address = update.http_address;
   if (!update.data_centre.value.empty()) entry.info.data_centre = update.data_centre;
+  if (update.capacity != 0) entry.info.capacity = update.capacity;
 }
 
 bool SaysTheSame(const peer::member_update& a, const peer::member_update& b) {
@@ -172,7 +183,8 @@
           table.self.peer_address,
           table.self.http_address,
           table.self_leaving ? member_state::kLeaving : member_state::kAlive,
-          table.self_counter};
+          table.self_counter,
+          table.self.capacity};
 }
 
 void NoteHeard(membership_tables& tables, instance::context& ctx, const base::instance_ref& sender,
--- a/core/membership/member_table.h
+++ b/core/membership/member_table.h
@@ -17,6 +17,8 @@
   base::data_centre_id data_centre;
   std::string peer_address;
   std::string http_address;
+  /// Processor share in thousandths of a core; 0 if not stated.
+  std::uint32_t capacity = 0;
 };
 
 /// What this instance believes of one other instance.
--- a/core/peer/codec.cc
+++ b/core/peer/codec.cc
@@ -118,7 +118,7 @@
     if (update.state > member_state::kDead) throw std::range_error("unknown member state");
   }
   void operator()(const fact& fact) const {
-    if (fact.kind > fact_kind::kDrainEnded) throw std::range_error("unknown fact kind");
+    if (fact.kind > fact_kind::kInstanceBusy) throw std::range_error("unknown fact kind");
   }
   void operator()(base::error_kind kind) const {
     if (static_cast<std::size_t>(kind) >= base::kErrorKindCount) throw std::range_error("unknown error kind");
--- a/core/peer/messages.h
+++ b/core/peer/messages.h
@@ -26,20 +26,28 @@
   member_state state = member_state::kAlive;
   /// Raised only by the member itself, to refute a suspicion or to announce that it leaves.
   std::uint32_t counter = 0;
+  /// Processor share of the member in thousandths of a core; 0 if not stated.
+  std::uint32_t capacity = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(member, data_centre, peer_address, http_address, state, counter);
+    archive(member, data_centre, peer_address, http_address, state, counter, capacity);
   }
 };
 
-enum class fact_kind : std::uint8_t { kBackendDraining, kRequestWithheld, kRequestSuspected, kDrainEnded };
+enum class fact_kind : std::uint8_t {
+  kBackendDraining,
+  kRequestWithheld,
+  kRequestSuspected,
+  kDrainEnded,
+  kInstanceBusy
+};
 
 /// A short-lived statement that all instances should know.
 struct fact {
   fact_kind kind = fact_kind::kBackendDraining;
-  /// Backend server id, or fingerprint as 16 hexadecimal digits. For the end of a drain: backend server id, "/" and the
-  /// life that is over as 16 hexadecimal digits.
+  /// Backend server id, instance id of a busy instance, or fingerprint as 16 hexadecimal digits. For the end of a
+  /// drain: backend server id, "/" and the life that is over as 16 hexadecimal digits.
   std::string subject;
   /// For a drain: the generation of the backend server's register entry under which it was observed. A higher one
   /// ends it. For a suspected request: 1 if no other request can have caused the crash.
--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -29,6 +29,7 @@
 using core::base::error_kind;
 using core::base::executed_state;
 
+constexpr double kThousandths = 1'000;
 /// How long the last answers may take to be written to callers that read slowly.
 constexpr std::chrono::seconds kAnswerFlushTime{10};
 /// How long the last messages to other instances may take.
@@ -49,7 +50,8 @@
           core::base::data_centre_id(settings.data_centre),
           settings.advertise_peer,
           // Callers of a forwarding instance use its entry.
-          settings.forwarding.has_value() ? settings.forwarding->listen_entry : settings.advertise_http};
+          settings.forwarding.has_value() ? settings.forwarding->listen_entry : settings.advertise_http,
+          static_cast<std::uint32_t>(settings.capacity * kThousandths)};
 }
 
 /// Two instances that start in the same microsecond still get different seeds.
--- a/shell/settings.cc
+++ b/shell/settings.cc
@@ -26,7 +26,7 @@
 /// The known keys by section. Everything else is a spelling mistake that would silently keep a default.
 const std::map<std::string, std::set<std::string>>& KnownKeys() {
   static const std::map<std::string, std::set<std::string>> keys = {
-      {"instance", {"name", "data_centre"}},
+      {"instance", {"name", "data_centre", "capacity"}},
       {"listen", {"http", "peer", "threads"}},
       {"advertise", {"http", "peer"}},
       {"platform", {"configuration_url", "instance_list_url", "timeout_ms"}},
@@ -265,6 +265,8 @@
   ReadSeeds(check, out);
   ReadName(check, "instance", "name", out.name);
   ReadName(check, "instance", "data_centre", out.data_centre);
+  constexpr double kMaxCores = 1'024;
+  ReadNumber<double>(check, "instance", "capacity", 0, kMaxCores, out.capacity);
   ReadAddress(check, "listen", "http", true, out.listen_http);
   ReadAddress(check, "listen", "peer", true, out.listen_peer);
   ReadNumber<std::uint32_t>(check, "listen", "threads", 1, 256, out.threads);
--- a/shell/settings.h
+++ b/shell/settings.h
@@ -42,6 +42,8 @@
   /// [instance]
   std::string name;
   std::string data_centre;
+  /// Processor share in cores; 0 if not stated.
+  double capacity = 0;
 
   /// [listen]
   std::string listen_http;
