--- a/shell/transfer_pool.cc
+++ b/shell/transfer_pool.cc
@@ -1,8 +1,10 @@
 #include "shell/transfer_pool.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -11,7 +13,10 @@
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace limpetrouter::shell {
 namespace {
@@ -26,7 +31,9 @@
 constexpr long kMaxIdleConnections = 16'384;
 /// Idle connections are not reused after this time, in seconds, and are closed.
 constexpr long kMaxIdleSeconds = 60;
-constexpr int kPollTimeoutMs = 1'000;
+/// Longest wait for events, in milliseconds.
+constexpr std::int64_t kMaxWaitMs = 1'000;
+constexpr std::size_t kEventBatch = 64;
 /// A probed connection is given up after about three seconds without a sign of the peer.
 constexpr int kProbeSeconds = 1;
 constexpr int kProbeCount = 2;
@@ -178,18 +185,86 @@
   std::unordered_map<transfer_id, std::unique_ptr<transfer>> running;
   std::vector<CURL*> spare_handles;
 
+  /// libcurl tells which sockets and which time it waits for, so that an event costs the same with any number of
+  /// transfers.
+  int epoll = -1;
+  int wake = -1;
+  /// When libcurl wants to be called without an event.
+  std::optional<steady_clock::time_point> timer;
+
   void Wake(bool was_idle) const {
-    if (was_idle) curl_multi_wakeup(multi);
+    if (was_idle) WakeNow();
+  }
+
+  void WakeNow() const {
+    const std::uint64_t one = 1;
+    // The counter only overflows if it is not read for centuries.
+    static_cast<void>(!::write(wake, &one, sizeof one));
+  }
+
+  static int OnSocketWanted(CURL* /*easy*/, curl_socket_t socket, int what, void* pointer, void* known) {
+    const auto& pool = *static_cast<impl*>(pointer);
+    if (what == CURL_POLL_REMOVE) {
+      epoll_ctl(pool.epoll, EPOLL_CTL_DEL, socket, nullptr);
+      return 0;
+    }
+    epoll_event event{};
+    event.data.fd = socket;
+    if ((what & CURL_POLL_IN) != 0) event.events |= EPOLLIN;
+    if ((what & CURL_POLL_OUT) != 0) event.events |= EPOLLOUT;
+    epoll_ctl(pool.epoll, known == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, socket, &event);
+    // Any pointer marks the socket as registered.
+    curl_multi_assign(pool.multi, socket, pointer);
+    return 0;
+  }
+
+  static int OnTimerWanted(CURLM* /*multi*/, long timeout_ms, void* pointer) {
+    auto& pool = *static_cast<impl*>(pointer);
+    pool.timer.reset();
+    if (timeout_ms >= 0) pool.timer = steady_clock::now() + milliseconds(timeout_ms);
+    return 0;
+  }
+
+  void WaitAndAct() {
+    std::int64_t wait = kMaxWaitMs;
+    if (timer.has_value()) {
+      const auto left = std::chrono::ceil<milliseconds>(*timer - steady_clock::now()).count();
+      wait = std::clamp<std::int64_t>(left, 0, kMaxWaitMs);
+    }
+    std::array<epoll_event, kEventBatch> events;
+    const int count = epoll_wait(epoll, events.data(), static_cast<int>(events.size()), static_cast<int>(wait));
+    int running_transfers = 0;
+    for (int i = 0; i < count; ++i) {
+      const epoll_event& event = events[static_cast<std::size_t>(i)];
+      if (event.data.fd == wake) {
+        std::uint64_t calls = 0;
+        static_cast<void>(!::read(wake, &calls, sizeof calls));
+        continue;
+      }
+      int mask = 0;
+      if ((event.events & (EPOLLIN | EPOLLHUP)) != 0) mask |= CURL_CSELECT_IN;
+      if ((event.events & EPOLLOUT) != 0) mask |= CURL_CSELECT_OUT;
+      if ((event.events & EPOLLERR) != 0) mask |= CURL_CSELECT_ERR;
+      curl_multi_socket_action(multi, event.data.fd, mask, &running_transfers);
+    }
+    ActOnTimer();
+  }
+
+  void ActOnTimer() {
+    int running_transfers = 0;
+    if (!timer.has_value() || steady_clock::now() < *timer) return;
+    timer.reset();
+    curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running_transfers);
   }
 
   void Run() {
     bool stop = false;
     while (!stop) {
       stop = TakeQueued();
-      int still_running = 0;
-      curl_multi_perform(multi, &still_running);
+      ActOnTimer();
+      TakeEnded();
+      if (!stop) WaitAndAct();
       TakeEnded();
-      if (!stop) curl_multi_poll(multi, nullptr, 0, kPollTimeoutMs, nullptr);
     }
     while (!running.empty())
       End(running.begin()->first, transfer_outcome::kCancelled);
@@ -327,6 +402,16 @@
   InitialiseCurl();
   impl_->multi = curl_multi_init();
   curl_multi_setopt(impl_->multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
+  impl_->epoll = epoll_create1(EPOLL_CLOEXEC);
+  impl_->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.fd = impl_->wake;
+  epoll_ctl(impl_->epoll, EPOLL_CTL_ADD, impl_->wake, &event);
+  curl_multi_setopt(impl_->multi, CURLMOPT_SOCKETFUNCTION, &impl::OnSocketWanted);
+  curl_multi_setopt(impl_->multi, CURLMOPT_SOCKETDATA, impl_.get());
+  curl_multi_setopt(impl_->multi, CURLMOPT_TIMERFUNCTION, &impl::OnTimerWanted);
+  curl_multi_setopt(impl_->multi, CURLMOPT_TIMERDATA, impl_.get());
   impl_->post_headers = curl_slist_append(impl_->post_headers, "Content-Type: application/json");
   // Without this, libcurl waits up to a second for a "100 Continue" before it sends a larger body.
   impl_->post_headers = curl_slist_append(impl_->post_headers, "Expect:");
@@ -338,6 +423,8 @@
   for (CURL* handle : impl_->spare_handles)
     curl_easy_cleanup(handle);
   curl_multi_cleanup(impl_->multi);
+  ::close(impl_->epoll);
+  ::close(impl_->wake);
   curl_slist_free_all(impl_->post_headers);
 }
 
@@ -373,7 +460,7 @@
     const std::lock_guard lock(impl_->mutex);
     impl_->stopping = true;
   }
-  curl_multi_wakeup(impl_->multi);
+  impl_->WakeNow();
   if (impl_->thread.joinable()) impl_->thread.join();
 }
 
