Let two instances of a data centre read the store, and the others follow them

Now the two largest instances of a data centre read it, with one watch for everything, and send news to those that ask them every half second; who hears nothing fresh for 1.9 s reads the store itself.

--- a/core/forwarding/forwarding.cc
+++ b/core/forwarding/forwarding.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "core/forwarding/directory.h"
+#include "core/forwarding/publication_spread.h"
 #include "core/forwarding/requests.h"
 #include "core/forwarding/retry_budget.h"
 
@@ -42,6 +43,13 @@
   ctx.out.emplace_back(io::apply_caller_limits{routing->limits});
 }
 
+void Apply(forwarding_tables& tables, instance::context& ctx, const published_changes& changes) {
+  for (const std::string& reason : changes.refused)
+    instance::LogDecision(ctx, "entry_refused", {{"reason", reason}});
+  ApplyRouting(tables, ctx, changes.routing, changes.revision);
+  LogChanges(ctx, ApplyRecords(tables.servers, changes, ctx.now));
+}
+
 std::int64_t AgeMs(base::time_point since, base::time_point now) {
   return since == base::time_point{} ? -1 : base::ToMilliseconds(now - since);
 }
@@ -49,17 +57,19 @@
 }  // namespace
 
 void HandlePublished(forwarding_tables& tables, instance::context& ctx, const io::published_read& event) {
-  const published_changes& changes = event.changes;
-  if (!NoteRead(tables.store, ctx, changes)) return;
-  for (const std::string& reason : changes.refused)
-    instance::LogDecision(ctx, "entry_refused", {{"reason", reason}});
-  ApplyRouting(tables, ctx, changes.routing, changes.revision);
-  if (changes.kind == published_kind::kServers) LogChanges(ctx, ApplyRecords(tables.servers, changes, ctx.now));
+  if (!NoteRead(tables.store, ctx, event.changes)) return;
+  Apply(tables, ctx, event.changes);
 }
 
 void HandlePublishedFailed(forwarding_tables& tables, instance::context& ctx, const io::published_read_failed& event) {
   NoteReadFailed(tables.store, ctx, event.failed);
-  if (event.failed.kind == published_kind::kServers) NoteContactLost(tables.servers, ctx.now);
+  NoteContactLost(tables.servers, ctx.now);
+}
+
+void HandlePublicationUpdate(forwarding_tables& tables, instance::context& ctx, const peer::message_header& header,
+                             const peer::publication_update& update) {
+  if (!tables.enabled) return;
+  Apply(tables, ctx, TakePublicationUpdate(tables, ctx, header, update));
 }
 
 void HandlePause(forwarding_tables& tables, instance::context& ctx) { ReadAgain(tables.store, ctx.now); }
@@ -67,7 +77,8 @@
 void RunForwarding(forwarding_tables& tables, instance::context& ctx) {
   if (!tables.enabled) return;
   RunLoadReport(tables, ctx);
-  RunReaders(tables.store, ctx);
+  RunSpread(tables, ctx);
+  if (MustRead(tables, ctx)) RunReader(tables.store, ctx);
   RunRequests(tables, ctx);
   const bool ready = IsReady(tables) && !ctx.leaving;
   if (ready != tables.reported_ready) ctx.out.emplace_back(io::report_readiness{ready});
@@ -92,11 +103,10 @@
                            {"age_ms", AgeMs(tables.routing_since, now)},
                            {"routes", tables.routing == nullptr ? 0 : tables.routing->routes.size()},
                            {"instances", tables.fleet_size}};
-  for (const published_kind kind : {published_kind::kRouting, published_kind::kServers}) {
-    const reader& each = tables.store.readers[kind == published_kind::kRouting ? 0 : 1];
-    report["reads"][std::string(ToString(kind))] = {
-        {"revision", each.revision}, {"last_success_ms", AgeMs(each.last_success, now)}, {"failures", each.failures}};
-  }
+  report["read"] = {{"revision", tables.store.revision},
+                    {"age_ms", AgeMs(tables.store.last_success, now)},
+                    {"failures", tables.store.failures},
+                    {"followers", tables.spread.followers.size()}};
   return report;
 }
 
--- a/core/forwarding/forwarding.h
+++ b/core/forwarding/forwarding.h
@@ -11,6 +11,9 @@
 /// Takes what was read from the platform: a newer configuration, or changes of backend servers.
 void HandlePublished(forwarding_tables& tables, instance::context& ctx, const io::published_read& event);
 void HandlePublishedFailed(forwarding_tables& tables, instance::context& ctx, const io::published_read_failed& event);
+/// Takes what another instance has read from the platform.
+void HandlePublicationUpdate(forwarding_tables& tables, instance::context& ctx, const peer::message_header& header,
+                             const peer::publication_update& update);
 /// The process was paused: what it believes is read again.
 void HandlePause(forwarding_tables& tables, instance::context& ctx);
 void RunForwarding(forwarding_tables& tables, instance::context& ctx);
--- a/core/forwarding/messages.h
+++ b/core/forwarding/messages.h
@@ -95,17 +95,18 @@
   std::uint64_t incarnation = 0;
   /// Revision of the entry in the register.
   std::uint64_t revision = 0;
-};
 
-/// What the platform publishes, by kind.
-enum class published_kind : std::uint8_t { kRouting, kServers };
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, service, address, data_centre, slots, draining, cold_left, incarnation, revision);
+  }
+};
 
-/// Changes up to a revision, in their order, or a whole list.
+/// What the platform publishes: changes up to a revision, or everything.
 struct published_changes {
-  published_kind kind = published_kind::kServers;
-  /// Number of the read that found them.
+  /// Number of the read that found them; 0 if another instance sent them.
   std::uint64_t read = 0;
-  /// Everything of this kind; what is not in it is gone.
+  /// Everything; a backend server that is not in it is gone.
   bool whole = false;
   std::uint64_t revision = 0;
   std::vector<server_record> servers;
@@ -118,7 +119,6 @@
 };
 
 struct published_read_failed {
-  published_kind kind = published_kind::kServers;
   std::uint64_t read = 0;
   /// The history after the revision asked for is no longer available.
   bool history_lost = false;
--- /dev/null
+++ b/core/forwarding/publication_spread.cc
@@ -0,0 +1,133 @@
+#include "core/forwarding/publication_spread.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "core/base/digest.h"
+
+namespace limpetrouter::core::forwarding {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Instances of a data centre that read the platform. The second one covers the first while its loss is noticed.
+constexpr std::size_t kReaders = 2;
+constexpr base::duration kRequestInterval = milliseconds(500);
+/// News that is older than this may hide a change that must be in force: a reader's watch takes 1.5 s when all is well,
+/// and about three seconds are allowed.
+constexpr base::duration kMaxAge = milliseconds(1'900);
+/// A follower that has not asked for this long gets no more news.
+constexpr base::duration kFollowerTime = milliseconds(1'700);
+
+/// Readers of the own data centre, the largest first, so that news leaves over fast links; then in rendezvous order.
+std::vector<base::instance_id> Readers(const instance::context& ctx) {
+  struct ranked {
+    std::uint32_t capacity;
+    std::uint64_t weight;
+    base::instance_id id;
+  };
+  const membership::identity& self = ctx.members.self;
+  const auto weight = [&self](const base::instance_id& id) {
+    return base::MixHash(base::HashBytes(id.value), base::HashBytes(self.data_centre.value));
+  };
+  std::vector<ranked> order;
+  if (!ctx.leaving) order.push_back({self.capacity, weight(self.ref.id), self.ref.id});
+  for (const auto& [id, entry] : ctx.members.members) {
+    const bool usable = entry.info.state == peer::member_state::kAlive && entry.info.member.incarnation.value != 0;
+    if (usable && entry.info.data_centre == self.data_centre) order.push_back({entry.info.capacity, weight(id), id});
+  }
+  std::sort(order.begin(), order.end(), [](const ranked& a, const ranked& b) {
+    return std::tie(a.capacity, a.weight) > std::tie(b.capacity, b.weight);
+  });
+  std::vector<base::instance_id> readers;
+  for (std::size_t i = 0; i < std::min(kReaders, order.size()); ++i)
+    readers.push_back(order[i].id);
+  return readers;
+}
+
+void UpdateReaders(forwarding_tables& tables, const instance::context& ctx) {
+  publication_spread& spread = tables.spread;
+  if (spread.members_version == ctx.members.version && !spread.readers.empty() && spread.leaving == ctx.leaving) return;
+  spread.members_version = ctx.members.version;
+  spread.leaving = ctx.leaving;
+  spread.readers = Readers(ctx);
+}
+
+bool IsReader(const forwarding_tables& tables, const instance::context& ctx) {
+  const auto& readers = tables.spread.readers;
+  return std::find(readers.begin(), readers.end(), ctx.members.self.ref.id) != readers.end();
+}
+
+/// Sends what the follower does not know.
+void SendUpdate(forwarding_tables& tables, instance::context& ctx, const base::instance_id& id, follower& each) {
+  const published_changes changes = ChangesSince(tables.servers, each.revision);
+  peer::publication_update update;
+  update.revision = tables.store.revision;
+  update.age_us = (ctx.now - tables.store.last_success).count();
+  update.whole = changes.whole;
+  update.servers = changes.servers;
+  update.removed = changes.removed;
+  if (tables.routing != nullptr && tables.routing->version > each.routing_version) update.routing = *tables.routing;
+  each.revision = tables.store.revision;
+  each.routing_version = tables.routing == nullptr ? 0 : tables.routing->version;
+  instance::SendToPeer(ctx, id, std::move(update));
+}
+
+void AskReader(forwarding_tables& tables, instance::context& ctx) {
+  publication_spread& spread = tables.spread;
+  if (ctx.now < spread.next_request || spread.readers.empty()) return;
+  spread.next_request = ctx.now + kRequestInterval;
+  // A reader that has not answered the last request is passed over.
+  if (spread.unanswered > 0) ++spread.chosen;
+  ++spread.unanswered;
+  const base::instance_id& reader =
+      spread.readers[(spread.chosen + base::HashBytes(ctx.members.self.ref.id.value)) % spread.readers.size()];
+  const std::uint64_t version = tables.routing == nullptr ? 0 : tables.routing->version;
+  instance::SendToPeer(ctx, reader, peer::publication_request{tables.store.revision, version});
+}
+
+}  // namespace
+
+bool MustRead(const forwarding_tables& tables, const instance::context& ctx) {
+  return IsReader(tables, ctx) || tables.routing == nullptr || !tables.servers.known ||
+         ctx.now - tables.store.last_success > kMaxAge;
+}
+
+void RunSpread(forwarding_tables& tables, instance::context& ctx) {
+  publication_spread& spread = tables.spread;
+  UpdateReaders(tables, ctx);
+  if (!IsReader(tables, ctx)) AskReader(tables, ctx);
+  std::erase_if(spread.followers, [&ctx](const auto& item) { return ctx.now > item.second.until; });
+  if (tables.store.revision == spread.sent_revision) return;
+  spread.sent_revision = tables.store.revision;
+  for (auto& [id, each] : spread.followers) {
+    if (each.revision < tables.store.revision) SendUpdate(tables, ctx, id, each);
+  }
+}
+
+void HandlePublicationRequest(forwarding_tables& tables, instance::context& ctx, const peer::message_header& header,
+                              const peer::publication_request& request) {
+  // An instance that knows nothing itself lets the other one ask elsewhere.
+  if (!tables.enabled || tables.store.last_success == base::time_point{} || tables.routing == nullptr) return;
+  follower& each = tables.spread.followers[header.sender.id];
+  each = {request.revision, request.routing_version, ctx.now + kFollowerTime};
+  SendUpdate(tables, ctx, header.sender.id, each);
+}
+
+published_changes TakePublicationUpdate(forwarding_tables& tables, instance::context& ctx,
+                                        const peer::message_header& /*header*/,
+                                        const peer::publication_update& update) {
+  published_changes changes;
+  tables.spread.unanswered = 0;
+  changes.whole = update.whole;
+  changes.revision = update.revision;
+  changes.servers = update.servers;
+  changes.removed = update.removed;
+  if (update.routing.has_value()) changes.routing = std::make_shared<const routing_table>(*update.routing);
+  NoteTold(tables.store, update.revision, base::duration(std::max<std::int64_t>(update.age_us, 0)), ctx.now);
+  return changes;
+}
+
+}  // namespace limpetrouter::core::forwarding
--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -77,6 +77,26 @@
   std::uint32_t retries = 0;
 };
 
+/// An instance that learns from this one what the platform publishes.
+struct follower {
+  std::uint64_t revision = 0;
+  std::uint64_t routing_version = 0;
+  base::time_point until{};
+};
+
+/// Spread of what the platform publishes from the instances that read it to the others of their data centre.
+struct publication_spread {
+  std::vector<base::instance_id> readers;
+  std::uint64_t members_version = 0;
+  bool leaving = false;
+  /// Which of the readers is asked, and requests without an answer since.
+  std::size_t chosen = 0;
+  std::uint32_t unanswered = 0;
+  base::time_point next_request{};
+  std::map<base::instance_id, follower> followers;
+  std::uint64_t sent_revision = 0;
+};
+
 struct forwarding_tables {
   bool enabled = false;
   fleet_bounds bounds;
@@ -84,6 +104,7 @@
   base::time_point routing_since{};
   server_table servers;
   store_reader store;
+  publication_spread spread;
   std::map<base::reply_handle, active_request> requests;
   std::unordered_map<call_id, call> calls;
   std::uint64_t next_call = 1;
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -20,7 +20,7 @@
 
 /// A partial answer is sent this long before the target time or the deadline: time for a tick and for the way to the
 /// caller.
-constexpr base::duration kAnswerMargin = milliseconds(22);
+constexpr base::duration kAnswerMargin = milliseconds(28);
 /// A second call is sent after this multiple of the usual latency: about 1 in 100 sound calls takes longer.
 constexpr double kHedgeFactor = 2.3;
 constexpr base::duration kMinHedgeDelay = milliseconds(6);
--- a/core/forwarding/routing_table.h
+++ b/core/forwarding/routing_table.h
@@ -18,6 +18,11 @@
 struct weighted_service {
   base::service_id service;
   std::uint32_t weight = 1;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(service, weight);
+  }
 };
 
 /// Where the requests of a host and path prefix go.
@@ -44,17 +49,33 @@
   std::uint32_t record_bytes = 0;
   /// Smallest share of the shards that makes an answer.
   double minimum_coverage = 1;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(name, host, prefix, repeat, timeout, target_latency, priority, max_attempts, split, shards, merged_records,
+            record_bytes, minimum_coverage);
+  }
 };
 
 struct service_rules {
   /// Connections that a backend server accepts from all callers together; 0 if not stated.
   std::uint32_t max_connections = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(max_connections);
+  }
 };
 
 /// What a caller's request may hold.
 struct caller_limits {
   std::size_t max_header_bytes = 16 * 1024;
   std::size_t max_body_bytes = 256 * 1024;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(max_header_bytes, max_body_bytes);
+  }
 };
 
 /// One version of the operators' configuration.
@@ -63,6 +84,11 @@
   std::vector<route> routes;
   std::map<base::service_id, service_rules> services;
   caller_limits limits;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(version, routes, services, limits);
+  }
 };
 
 using routing_table_ptr = std::shared_ptr<const routing_table>;
--- a/core/forwarding/server_table.cc
+++ b/core/forwarding/server_table.cc
@@ -14,6 +14,8 @@
 constexpr std::size_t kPlausibleRemovals = 2;
 constexpr std::size_t kPlausibleShare = 5;
 constexpr base::duration kRemovalWindow = std::chrono::seconds(1);
+/// Removals that followers can be told one by one.
+constexpr std::size_t kKeptRemovals = 1'024;
 
 void Unlist(server_table& table, const server& gone) {
   const auto found = table.by_service.find(gone.record.service);
@@ -109,6 +111,13 @@
       if (!listed.contains(id) && known.record.revision <= changes.revision) gone.push_back(id);
     }
   }
+  // A list does not tell when something was removed.
+  if (changes.whole) table.removals_since = std::max(table.removals_since, changes.revision);
+  table.removals.insert(table.removals.end(), changes.removed.begin(), changes.removed.end());
+  while (table.removals.size() > kKeptRemovals) {
+    table.removals_since = std::max(table.removals_since, table.removals.front().second);
+    table.removals.pop_front();
+  }
   const bool doubtful = IsRemovalDoubtful(table, gone.size(), now);
   for (const base::backend_server_id& id : gone)
     Remove(table, id, doubtful, now, applied);
@@ -130,6 +139,22 @@
   return expired;
 }
 
+published_changes ChangesSince(const server_table& table, std::uint64_t revision) {
+  published_changes changes;
+  changes.revision = table.revision;
+  changes.whole = revision < table.removals_since;
+  for (const auto& [id, each] : table.servers) {
+    // An entry that is missing is either back soon or gone; followers decide by themselves.
+    if (each.missing_since != base::time_point{}) continue;
+    if (changes.whole || each.record.revision > revision) changes.servers.push_back(each.record);
+  }
+  if (changes.whole) return changes;
+  for (const auto& removal : table.removals) {
+    if (removal.second > revision) changes.removed.push_back(removal);
+  }
+  return changes;
+}
+
 const std::vector<base::backend_server_id>& ServersOf(const server_table& table, const base::service_id& service) {
   static const std::vector<base::backend_server_id> none;
   const auto found = table.by_service.find(service);
--- a/core/forwarding/server_table.h
+++ b/core/forwarding/server_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -60,6 +61,10 @@
   base::time_point last_contact{};
   /// Removals of the last second, to recognise entries that lapse together.
   std::vector<base::time_point> recent_removals;
+  /// Latest removals with their revisions, for instances that follow this one.
+  std::deque<std::pair<base::backend_server_id, std::uint64_t>> removals;
+  /// All removals after this revision are in `removals`.
+  std::uint64_t removals_since = 0;
 };
 
 /// One change of the table, for the log.
@@ -76,6 +81,9 @@
 /// Forgets servers whose entries did not come back in time.
 std::vector<server_change> ExpireMissing(server_table& table, base::time_point now);
 
+/// Records and removals after `revision`, or everything if they are not known so far back.
+published_changes ChangesSince(const server_table& table, std::uint64_t revision);
+
 const std::vector<base::backend_server_id>& ServersOf(const server_table& table, const base::service_id& service);
 
 }  // namespace limpetrouter::core::forwarding
--- a/core/forwarding/store_reader.cc
+++ b/core/forwarding/store_reader.cc
@@ -7,101 +7,81 @@
 namespace {
 
 /// How long the service holds a watch without changes. A watch that the service has forgotten, or whose connection fell
-/// silent, hides changes for as long, and they must be in force within about three seconds.
-constexpr base::duration kWatchTime = std::chrono::milliseconds(2'500);
+/// silent, hides changes for as long, and they must be in force within about three seconds everywhere.
+constexpr base::duration kWatchTime = std::chrono::milliseconds(1'200);
 /// Pause between two watches, so that changes that come together cost one call.
 constexpr base::duration kWatchPause = std::chrono::milliseconds(250);
 constexpr base::duration kFirstRetry = std::chrono::milliseconds(150);
 constexpr base::duration kMaxRetry = std::chrono::milliseconds(1'200);
 
-base::duration RetryDelay(const reader& each, base::random_source& random) {
-  base::duration delay = kFirstRetry * (std::int64_t{1} << std::min<std::uint32_t>(each.failures - 1, 6));
+base::duration RetryDelay(const store_reader& reader, base::random_source& random) {
+  base::duration delay = kFirstRetry * (std::int64_t{1} << std::min<std::uint32_t>(reader.failures - 1, 6));
   delay = std::min(delay, kMaxRetry);
   // Half to all of the delay, so that instances that failed together do not return together.
   return delay / 2 + base::duration(base::NextBelow(random, static_cast<std::uint64_t>(delay.count() / 2 + 1)));
 }
 
-void StartRead(store_reader& store, published_kind kind, instance::context& ctx) {
-  reader& each = ReaderOf(store, kind);
-  each.started = ctx.now;
-  each.read = store.next_read++;
-  if (each.needs_list) {
-    each.state = reader_state::kListing;
-    ctx.out.emplace_back(io::list_published{kind, each.read, !each.needs_fresh_list});
-  } else {
-    each.state = reader_state::kWatching;
-    ctx.out.emplace_back(io::watch_published{kind, each.read, each.revision, kWatchTime});
-  }
-}
-
-/// Lists anew within a short time, so that the instances do not all read at once.
-void ListAfterLoss(reader& each, instance::context& ctx) {
-  each.state = reader_state::kIdle;
-  each.needs_list = each.needs_fresh_list = true;
-  each.next_read = ctx.now + base::duration(base::NextBelow(ctx.random, kFirstRetry.count()));
-}
-
 }  // namespace
 
-std::string_view ToString(published_kind kind) { return kind == published_kind::kRouting ? "routing" : "servers"; }
-
-reader& ReaderOf(store_reader& store, published_kind kind) {
-  return store.readers[kind == published_kind::kRouting ? 0 : 1];
-}
-
-void RunReaders(store_reader& store, instance::context& ctx) {
-  for (const published_kind kind : {published_kind::kRouting, published_kind::kServers}) {
-    const reader& each = ReaderOf(store, kind);
-    if (each.state == reader_state::kIdle && ctx.now >= each.next_read) StartRead(store, kind, ctx);
+void RunReader(store_reader& reader, instance::context& ctx) {
+  if (reader.state != reader_state::kIdle || ctx.now < reader.next_read) return;
+  ++reader.read;
+  if (reader.needs_list) {
+    reader.state = reader_state::kListing;
+    ctx.out.emplace_back(io::list_published{reader.read, !reader.needs_fresh_list});
+  } else {
+    reader.state = reader_state::kWatching;
+    ctx.out.emplace_back(io::watch_published{reader.read, reader.revision, kWatchTime});
   }
 }
 
-bool NoteRead(store_reader& store, instance::context& ctx, const published_changes& changes) {
-  reader& each = ReaderOf(store, changes.kind);
-  if (changes.read != each.read || each.state == reader_state::kIdle) return false;
-  each.state = reader_state::kIdle;
-  if (each.failures > 0) {
-    instance::LogDecision(ctx, "store_regained",
-                          {{"kind", std::string(ToString(changes.kind))},
-                           {"failures", std::to_string(each.failures)},
-                           {"revision", std::to_string(changes.revision)}});
+bool NoteRead(store_reader& reader, instance::context& ctx, const published_changes& changes) {
+  if (changes.read != reader.read || reader.state == reader_state::kIdle) return false;
+  reader.state = reader_state::kIdle;
+  if (reader.failures > 0) {
+    instance::LogDecision(
+        ctx, "store_regained",
+        {{"failures", std::to_string(reader.failures)}, {"revision", std::to_string(changes.revision)}});
   }
-  each.failures = 0;
-  each.last_success = ctx.now;
+  reader.failures = 0;
+  reader.last_success = ctx.now;
   // A stale list may be older than what a watch has told.
-  if (!changes.whole || changes.revision >= each.revision) each.needs_list = false;
-  if (changes.whole && changes.revision < each.revision) each.needs_fresh_list = true;
-  if (!each.needs_list) each.needs_fresh_list = false;
-  each.revision = std::max(each.revision, changes.revision);
-  each.next_read = changes.whole ? ctx.now : ctx.now + kWatchPause;
+  if (!changes.whole || changes.revision >= reader.revision) reader.needs_list = false;
+  reader.needs_fresh_list = reader.needs_list;
+  reader.revision = std::max(reader.revision, changes.revision);
+  reader.next_read = changes.whole ? ctx.now : ctx.now + kWatchPause;
   return true;
 }
 
-void NoteReadFailed(store_reader& store, instance::context& ctx, const published_read_failed& failed) {
-  reader& each = ReaderOf(store, failed.kind);
-  if (failed.read != each.read || each.state == reader_state::kIdle) return;
-  each.state = reader_state::kIdle;
+void NoteReadFailed(store_reader& reader, instance::context& ctx, const published_read_failed& failed) {
+  if (failed.read != reader.read || reader.state == reader_state::kIdle) return;
+  reader.state = reader_state::kIdle;
   if (failed.history_lost) {
-    // The service has one history: what the other watches wait for is lost too, though they may not be told.
-    for (reader& other : store.readers)
-      ListAfterLoss(other, ctx);
+    reader.needs_list = reader.needs_fresh_list = true;
+    // Within a short time, so that the instances do not all read at once.
+    reader.next_read = ctx.now + base::duration(base::NextBelow(ctx.random, kFirstRetry.count()));
   } else {
-    ++each.failures;
-    if (each.needs_list) each.needs_fresh_list = !each.needs_fresh_list;
-    each.next_read = ctx.now + RetryDelay(each, ctx.random);
+    ++reader.failures;
+    if (reader.needs_list) reader.needs_fresh_list = !reader.needs_fresh_list;
+    reader.next_read = ctx.now + RetryDelay(reader, ctx.random);
   }
-  if (!failed.history_lost && each.failures != 1) return;
+  if (!failed.history_lost && reader.failures != 1) return;
   instance::LogDecision(ctx, "store_lost",
-                        {{"kind", std::string(ToString(failed.kind))},
-                         {"reason", failed.reason},
-                         {"revision", std::to_string(each.revision)}});
+                        {{"reason", failed.reason},
+                         {"revision", std::to_string(reader.revision)},
+                         {"age_ms", std::to_string(base::ToMilliseconds(ctx.now - reader.last_success))}});
 }
 
-void ReadAgain(store_reader& store, base::time_point now) {
-  for (reader& each : store.readers) {
-    each.state = reader_state::kIdle;
-    each.next_read = now;
-  }
+void NoteTold(store_reader& reader, std::uint64_t revision, base::duration age, base::time_point now) {
+  reader.last_success = std::max(reader.last_success, now - age);
+  if (revision < reader.revision) return;
+  reader.revision = revision;
+  reader.needs_list = reader.needs_fresh_list = false;
+}
+
+void ReadAgain(store_reader& reader, base::time_point now) {
+  reader.state = reader_state::kIdle;
+  reader.next_read = now;
 }
 
 }  // namespace limpetrouter::core::forwarding
--- a/core/instance/instance.cc
+++ b/core/instance/instance.cc
@@ -7,6 +7,7 @@
 #include "core/entry/entry.h"
 #include "core/forwarding/directory.h"
 #include "core/forwarding/forwarding.h"
+#include "core/forwarding/publication_spread.h"
 #include "core/forwarding/requests.h"
 #include "core/gather/gather.h"
 #include "core/instance/context.h"
@@ -68,6 +69,10 @@
           membership::HandleProbeAck(membership, ctx, header, body);
         } else if constexpr (std::is_same_v<body_type, peer::indirect_probe>) {
           membership::HandleIndirectProbe(membership, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::publication_request>) {
+          forwarding::HandlePublicationRequest(instance.forwarding, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::publication_update>) {
+          forwarding::HandlePublicationUpdate(instance.forwarding, ctx, header, body);
         } else {
           static_assert(std::is_same_v<body_type, peer::announce>);
           membership::HandleAnnounce(membership, ctx, header, body);
--- a/core/io/command.h
+++ b/core/io/command.h
@@ -121,9 +121,8 @@
   base::duration validity{};
 };
 
-/// Reads everything of a kind from the platform. A stale answer is cheaper, and may be seconds old.
+/// Reads everything that the platform publishes. A stale answer is cheaper, and may be seconds old.
 struct list_published {
-  forwarding::published_kind kind = forwarding::published_kind::kServers;
   /// Comes back with the result.
   std::uint64_t read = 0;
   bool stale_allowed = true;
@@ -131,7 +130,6 @@
 
 /// Waits at the platform for changes after a revision, at most for `wait`.
 struct watch_published {
-  forwarding::published_kind kind = forwarding::published_kind::kServers;
   std::uint64_t read = 0;
   std::uint64_t after = 0;
   base::duration wait{};
--- a/core/peer/codec.cc
+++ b/core/peer/codec.cc
@@ -8,14 +8,18 @@
 #include <fmt/format.h>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/cereal.hpp>
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 
 namespace limpetrouter::core::peer {
 namespace {
 
-constexpr std::uint16_t kFormatVersion = 1;
+constexpr std::uint16_t kFormatVersion = 2;
 
 }  // namespace
 
--- a/core/peer/messages.h
+++ b/core/peer/messages.h
@@ -9,6 +9,7 @@
 
 #include "core/base/error_kind.h"
 #include "core/base/strong_id.h"
+#include "core/forwarding/messages.h"
 
 namespace limpetrouter::core::peer {
 
@@ -359,9 +360,38 @@
   }
 };
 
-using message_body =
-    std::variant<gather_request, gather_answer, gather_cancel, forward_request, forward_answer, configuration_request,
-                 configuration_value, table_exchange, probe, probe_ack, indirect_probe, announce>;
+/// Asks an instance that reads the platform for what is newer than `revision`, now and for a while.
+struct publication_request {
+  std::uint64_t revision = 0;
+  std::uint64_t routing_version = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(revision, routing_version);
+  }
+};
+
+/// What the platform has published since a revision, from an instance that reads it.
+struct publication_update {
+  std::uint64_t revision = 0;
+  /// How long ago the platform said that this is the newest, in microseconds.
+  std::int64_t age_us = 0;
+  /// Everything; a backend server that is not in it is gone.
+  bool whole = false;
+  std::vector<forwarding::server_record> servers;
+  std::vector<std::pair<base::backend_server_id, std::uint64_t>> removed;
+  /// A newer configuration, if there is one.
+  std::optional<forwarding::routing_table> routing;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(revision, age_us, whole, servers, removed, routing);
+  }
+};
+
+using message_body = std::variant<gather_request, gather_answer, gather_cancel, forward_request, forward_answer,
+                                  configuration_request, configuration_value, table_exchange, probe, probe_ack,
+                                  indirect_probe, announce, publication_request, publication_update>;
 
 struct message {
   message_header header;
