--- a/cli/commands.h
+++ b/cli/commands.h
@@ -12,6 +12,8 @@
 int ShowDrains(const options& chosen);
 int ShowWithheld(const options& chosen);
 int ShowBudgets(const options& chosen);
+int ShowForwarding(const options& chosen);
+int ExplainRequest(const options& chosen);
 int ExplainQuery(const options& chosen);
 int RunQuery(const options& chosen);
 int ShowAddresses(const options& chosen);
--- a/cli/main.cc
+++ b/cli/main.cc
@@ -13,13 +13,15 @@
   int (*run)(const options&);
 };
 
-constexpr std::array<command_entry, 10> kCommands = {{{"check", &CheckFiles},
+constexpr std::array<command_entry, 12> kCommands = {{{"check", &CheckFiles},
                                                       {"instances", &ShowInstances},
                                                       {"backend-servers", &ShowBackendServers},
                                                       {"configuration", &ShowConfiguration},
                                                       {"drains", &ShowDrains},
                                                       {"withheld", &ShowWithheld},
                                                       {"budgets", &ShowBudgets},
+                                                      {"forwarding", &ShowForwarding},
+                                                      {"request", &ExplainRequest},
                                                       {"explain", &ExplainQuery},
                                                       {"query", &RunQuery},
                                                       {"addresses", &ShowAddresses}}};
--- a/cli/options.cc
+++ b/cli/options.cc
@@ -28,7 +28,7 @@
   bool needs_address;
 };
 
-constexpr std::array<subcommand, 10> kSubcommands = {{
+constexpr std::array<subcommand, 12> kSubcommands = {{
     {"check", "settings FILE | configuration INVENTORY RULES SHARD_MAPS", "Check files without an instance", 2, 4,
      false},
     {"instances", "", "Instances with their state, as the first reachable instance sees them", 0, 0, true},
@@ -37,6 +37,8 @@
     {"drains", "", "Backend servers that get no new work", 0, 0, true},
     {"withheld", "", "Requests withheld because they crashed backend servers", 0, 0, true},
     {"budgets", "", "Hedge and retry budgets and admission limits", 0, 0, true},
+    {"forwarding", "", "Configuration, backend servers and budgets of the given forwarding instances", 0, 0, true},
+    {"request", "ATTEMPT_ID", "Decisions of the given forwarding instances about one request", 1, 1, true},
     {"explain", "QUERY_ID", "Decisions taken for one query", 1, 1, true},
     {"query", "COLLECTION OPERATION", "Run one query and print its answer", 2, 2, true},
     {"addresses", "", "Addresses, and permits, that a caller gets", 0, 0, true},
--- a/core/forwarding/answers.cc
+++ b/core/forwarding/answers.cc
@@ -71,19 +71,17 @@
   return given;
 }
 
-void SendAnswer(const forwarding_tables& tables, instance::context& ctx, base::reply_handle handle,
+void SendAnswer(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle,
                 const active_request& request, answer given) {
-  std::vector<std::pair<std::string, std::string>> fields = {
-      {"request", request.content->attempt},
-      {"route", request.route->name},
-      {"version", std::to_string(request.table->version)},
-      {"version_age_ms", AgeInMs(tables.routing_since, ctx.now)},
-      {"status", std::to_string(given.status)},
-      {"executed", std::string(ToString(given.executed))},
-      {"elapsed_ms", AgeInMs(request.content->received, ctx.now)},
-      {"calls", std::to_string(request.calls)},
-      {"hedges", std::to_string(request.hedges)},
-      {"retries", std::to_string(request.retries)}};
+  decision_fields fields = {{"route", request.route->name},
+                            {"version", std::to_string(request.table->version)},
+                            {"version_age_ms", AgeInMs(tables.routing_since, ctx.now)},
+                            {"status", std::to_string(given.status)},
+                            {"executed", std::string(ToString(given.executed))},
+                            {"elapsed_ms", AgeInMs(request.content->received, ctx.now)},
+                            {"calls", std::to_string(request.calls)},
+                            {"hedges", std::to_string(request.hedges)},
+                            {"retries", std::to_string(request.retries)}};
   if (given.merged) {
     fields.emplace_back("parts", std::to_string(given.signatures.size()));
     fields.emplace_back("missing", std::to_string(given.missing_parts));
@@ -97,20 +95,19 @@
       fields.emplace_back("retry_after_ms", std::to_string(base::ToMilliseconds(*given.retry_after)));
     }
   }
-  instance::LogDecision(ctx, "answer", std::move(fields));
+  LogRequest(tables.history, ctx, request.content->attempt, "answer", std::move(fields));
   ctx.out.emplace_back(io::reply_forwarded{handle, request.content, std::move(given)});
 }
 
-void Refuse(instance::context& ctx, base::reply_handle handle, const request_ptr& content, base::error failure,
-            std::optional<base::duration> retry_after) {
+void Refuse(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle, const request_ptr& content,
+            base::error failure, std::optional<base::duration> retry_after) {
   answer given = MakeFailure(std::move(failure), executed_state::kNo, retry_after);
-  instance::LogDecision(ctx, "refuse",
-                        {{"request", content->attempt},
-                         {"host", content->host},
-                         {"path", content->path},
-                         {"status", std::to_string(given.status)},
-                         {"error", std::string(ToString(given.failure->kind))},
-                         {"detail", given.failure->detail}});
+  LogRequest(tables.history, ctx, content->attempt, "refuse",
+             {{"host", content->host},
+              {"path", content->path},
+              {"status", std::to_string(given.status)},
+              {"error", std::string(ToString(given.failure->kind))},
+              {"detail", given.failure->detail}});
   ctx.out.emplace_back(io::reply_forwarded{handle, content, std::move(given)});
 }
 
--- a/core/forwarding/answers.h
+++ b/core/forwarding/answers.h
@@ -22,10 +22,10 @@
 answer MakeFailure(base::error failure, base::executed_state executed, std::optional<base::duration> retry_after);
 
 /// Sends the answer and logs it with what decided it.
-void SendAnswer(const forwarding_tables& tables, instance::context& ctx, base::reply_handle handle,
+void SendAnswer(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle,
                 const active_request& request, answer given);
 /// The same for a request that was refused before any call.
-void Refuse(instance::context& ctx, base::reply_handle handle, const request_ptr& content, base::error failure,
-            std::optional<base::duration> retry_after);
+void Refuse(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle, const request_ptr& content,
+            base::error failure, std::optional<base::duration> retry_after);
 
 }  // namespace limpetrouter::core::forwarding
--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -10,6 +10,7 @@
 #include "core/base/strong_id.h"
 #include "core/base/time.h"
 #include "core/forwarding/messages.h"
+#include "core/forwarding/request_history.h"
 #include "core/forwarding/routing_table.h"
 #include "core/forwarding/server_table.h"
 #include "core/forwarding/store_reader.h"
@@ -108,6 +109,7 @@
   std::map<base::reply_handle, active_request> requests;
   std::unordered_map<call_id, call> calls;
   std::uint64_t next_call = 1;
+  request_history history;
   /// Latency of successful calls by route name, from sending to the answer.
   std::map<std::string, routing::latency_window> latency;
   std::map<std::string, split_turn> turns;
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -104,13 +104,12 @@
   NoteCallStart(target, {id, ctx.now, UsualLatency(tables, *request.route)});
   if (purpose != send_purpose::kFirst) {
     ++(purpose == send_purpose::kHedge ? request.hedges : request.retries);
-    instance::LogDecision(ctx, purpose == send_purpose::kHedge ? "hedge" : "retry",
-                          {{"request", request.content->attempt},
-                           {"service", part.service.value},
-                           {"backend_server", chosen.server.value},
-                           {"after_ms", std::to_string(base::ToMilliseconds(ctx.now - request.content->received))},
-                           {"cost", fmt::format("{:.2f}", chosen.cost)},
-                           {"entry_age_ms", std::to_string(base::ToMilliseconds(ctx.now - target.seen))}});
+    LogRequest(tables.history, ctx, request.content->attempt, purpose == send_purpose::kHedge ? "hedge" : "retry",
+               {{"service", part.service.value},
+                {"backend_server", chosen.server.value},
+                {"after_ms", std::to_string(base::ToMilliseconds(ctx.now - request.content->received))},
+                {"cost", fmt::format("{:.2f}", chosen.cost)},
+                {"entry_age_ms", std::to_string(base::ToMilliseconds(ctx.now - target.seen))}});
   }
   io::start_call command;
   command.call = id;
@@ -304,17 +303,16 @@
   DispatchPart(tables, ctx, handle, request, index, send_purpose::kRetry);
 }
 
-void LogCallFailure(instance::context& ctx, const active_request& request, const call& ended,
+void LogCallFailure(forwarding_tables& tables, instance::context& ctx, const active_request& request, const call& ended,
                     const call_result& result) {
   const error_kind kind = result.failure.value_or(error_kind::kBackendFailed);
-  instance::LogDecision(ctx, "call_failed",
-                        {{"request", request.content->attempt},
-                         {"service", request.parts[ended.part].service.value},
-                         {"backend_server", ended.server.value},
-                         {"error", std::string(ToString(kind))},
-                         {"executed", std::string(ToString(result.executed))},
-                         {"status", std::to_string(result.status)},
-                         {"elapsed_ms", std::to_string(base::ToMilliseconds(result.elapsed))}});
+  LogRequest(tables.history, ctx, request.content->attempt, "call_failed",
+             {{"service", request.parts[ended.part].service.value},
+              {"backend_server", ended.server.value},
+              {"error", std::string(ToString(kind))},
+              {"executed", std::string(ToString(result.executed))},
+              {"status", std::to_string(result.status)},
+              {"elapsed_ms", std::to_string(base::ToMilliseconds(result.elapsed))}});
 }
 
 void NoteServer(forwarding_tables& tables, instance::context& ctx, call_id id, const call& ended,
@@ -448,12 +446,12 @@
 void AcceptRequest(forwarding_tables& tables, instance::context& ctx, const io::request_received& event) {
   const request_ptr& content = event.request;
   if (tables.routing == nullptr) {
-    return Refuse(ctx, event.handle, content, {error_kind::kNoConfiguration, "no configuration has been read yet"},
-                  kDefaultRetryAfter);
+    return Refuse(tables, ctx, event.handle, content,
+                  {error_kind::kNoConfiguration, "no configuration has been read yet"}, kDefaultRetryAfter);
   }
   const route* const route = FindRoute(*tables.routing, content->host, content->path);
   if (route == nullptr) {
-    return Refuse(ctx, event.handle, content,
+    return Refuse(tables, ctx, event.handle, content,
                   {error_kind::kUnknownRoute, fmt::format("configuration {} has no route for host {} path {}",
                                                           tables.routing->version, content->host, content->path)},
                   std::nullopt);
@@ -465,11 +463,11 @@
   request.fingerprint = Fingerprint(*content);
   request.deadline = content->received + std::min(content->patience.value_or(route->timeout), route->timeout);
   if (membership::IsWithheld(ctx.facts, request.fingerprint, ctx.now)) {
-    return Refuse(ctx, event.handle, content,
+    return Refuse(tables, ctx, event.handle, content,
                   {error_kind::kRequestWithheld, "the same request crashed backend servers"}, kMaxRetryAfter);
   }
   if (ctx.now >= request.deadline) {
-    return Refuse(ctx, event.handle, content,
+    return Refuse(tables, ctx, event.handle, content,
                   {error_kind::kDeadlineExceeded, "the deadline had passed before the request was taken"},
                   std::nullopt);
   }
@@ -505,10 +503,8 @@
 void AbandonRequest(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle) {
   const auto found = tables.requests.find(handle);
   if (found == tables.requests.end()) return;
-  instance::LogDecision(ctx, "abandoned",
-                        {{"request", found->second.content->attempt},
-                         {"route", found->second.route->name},
-                         {"calls", std::to_string(found->second.calls)}});
+  LogRequest(tables.history, ctx, found->second.content->attempt, "abandoned",
+             {{"route", found->second.route->name}, {"calls", std::to_string(found->second.calls)}});
   CancelOrLinger(tables, ctx, found->second);
   tables.requests.erase(found);
 }
@@ -531,7 +527,7 @@
   if (IsSuccess(result)) {
     routing::AddLatency(tables.latency[request.route->name], ctx.now - ended.started, ctx.now);
   } else if (!ended.lingers_until.has_value()) {
-    LogCallFailure(ctx, request, ended, result);
+    LogCallFailure(tables, ctx, request, ended, result);
   }
   if (!part.result.has_value()) {
     const bool reached = result.failure != error_kind::kConnectFailed;
--- a/shell/endpoints.cc
+++ b/shell/endpoints.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/entry/entry.h"
+#include "core/forwarding/forwarding.h"
 #include "core/gather/gather.h"
 #include "core/membership/membership.h"
 #include "shell/json_codec.h"
@@ -129,8 +130,9 @@
                    fmt::format("parameter query has {} bytes (allowed: the query_id of an answer, 1 to {} bytes)",
                                query.size(), kMaxQueryIdBytes)});
   }
-  ports.post_task([ports, handle, query](const instance& i, time_point /*now*/) {
-    const std::optional<json> report = core::entry::ExplainQuery(i.entry, query);
+  ports.post_task([ports, handle, query](const instance& i, time_point now) {
+    std::optional<json> report = core::entry::ExplainQuery(i.entry, query);
+    if (!report.has_value()) report = core::forwarding::ExplainRequest(i.forwarding.history, query, now);
     if (report.has_value()) return ports.answer(handle, {200, WriteJson(*report), true});
     Refuse(ports, handle, kNotFound,
            {error_kind::kInvalidRequest,
@@ -139,6 +141,16 @@
   });
 }
 
+void HandleForwarding(const endpoint_ports& ports, reply_handle handle, const http_request& /*request*/) {
+  AnswerReport(ports, handle, [](const instance& i, time_point now) {
+    return json{{"instance", i.membership.members.self.ref.id.value},
+                {"routing", core::forwarding::ReportRouting(i.forwarding, now)},
+                {"backend_servers", core::forwarding::ReportServers(i.forwarding, now)},
+                {"budgets", core::forwarding::ReportRepeats(i.forwarding, now)},
+                {"withheld", core::membership::ReportWithheld(i.membership, now)}};
+  });
+}
+
 void HandleHealth(const endpoint_ports& ports, reply_handle handle, const http_request& /*request*/) {
   ports.post_task([answer = ports.answer, handle](const instance& i, time_point now) {
     const bool ready = core::membership::IsReady(i.membership, now);
@@ -154,7 +166,7 @@
   });
 }
 
-constexpr std::array<endpoint, 11> kEndpoints = {{{"POST", "/v1/query", &HandleQueryRequest},
+constexpr std::array<endpoint, 12> kEndpoints = {{{"POST", "/v1/query", &HandleQueryRequest},
                                                   {"GET", "/v1/addresses", &HandleAddressRequest},
                                                   {"GET", "/healthz", &HandleHealth},
                                                   {"GET", "/metrics", &HandleMetrics},
@@ -164,6 +176,7 @@
                                                   {"GET", "/v1/status/drains", &HandleDrains},
                                                   {"GET", "/v1/status/withheld", &HandleWithheld},
                                                   {"GET", "/v1/status/budgets", &HandleBudgets},
+                                                  {"GET", "/v1/status/forwarding", &HandleForwarding},
                                                   {"GET", "/v1/explain", &HandleExplain}}};
 
 std::string AllPaths() {
