--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -183,6 +183,20 @@
   return given;
 }
 
+/// What the request still lacks, for the log and the caller.
+std::string DescribeGap(const active_request& request) {
+  std::string silent;
+  std::string failed;
+  for (const request_part& part : request.parts) {
+    if (part.result.has_value()) continue;
+    std::string& list = part.calls.empty() && !part.waiting ? failed : silent;
+    list += (list.empty() ? "" : ",") + part.service.value;
+  }
+  std::string detail(base::DescribeError(request.last_failure).message);
+  if (!failed.empty()) return fmt::format("{}: {}", failed, detail);
+  return fmt::format("no answer of {}", silent);
+}
+
 /// What a request ends with that got no answer.
 answer FailureOf(const forwarding_tables& tables, const active_request& request, error_kind kind,
                  base::time_point now) {
@@ -190,8 +204,7 @@
   for (const request_part& part : request.parts) {
     if (!part.calls.empty()) executed = CombineExecuted(executed, executed_state::kUnknown);
   }
-  std::string detail(base::DescribeError(request.last_failure).message);
-  return MakeFailure({kind, std::move(detail)}, executed, RetryAfter(tables, request, now));
+  return MakeFailure({kind, DescribeGap(request)}, executed, RetryAfter(tables, request, now));
 }
 
 struct progress {
--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <mutex>
 #include <random>
 #include <thread>
 #include <type_traits>
@@ -92,6 +93,8 @@
   std::uint64_t seed;
   std::atomic<bool> left{false};
   std::atomic<bool> leave_posted{false};
+  /// Guards `config.seeds`, which a reload changes.
+  std::mutex seeds_mutex;
   bool started = false;
 
   logger log;
@@ -190,6 +193,7 @@
   }
   void Run(core::io::read_instance_list&& /*read*/) {
     if (gateway == nullptr) return platform.ReadInstanceList();
+    const std::lock_guard lock(seeds_mutex);
     core.Post(ListSeeds(config.seeds));
   }
 
@@ -240,6 +244,21 @@
   impl_->core.Post(core::io::leave_requested{});
 }
 
+void daemon::Reload(const settings_result& read) {
+  if (!read.has_value()) {
+    for (const setting_problem& problem : read.error())
+      impl_->log.Warning("settings_refused", {{"problem", ToString(problem)}});
+    return;
+  }
+  std::size_t seeds = 0;
+  {
+    const std::lock_guard lock(impl_->seeds_mutex);
+    impl_->config.seeds = read->seeds;
+    seeds = impl_->config.seeds.size();
+  }
+  impl_->log.Info("settings_reload", {{"seeds", std::to_string(seeds)}});
+}
+
 bool daemon::HasLeft() const { return impl_->left; }
 
 void daemon::Stop() {
--- a/shell/daemon.h
+++ b/shell/daemon.h
@@ -21,6 +21,8 @@
   core::base::result<void> Start();
   /// Begins the graceful shutdown. Later calls do nothing.
   void Leave();
+  /// Takes over what may change while the process runs: the seeds. Everything else needs a restart.
+  void Reload(const settings_result& read);
   /// True when the core has ended all its work.
   bool HasLeft() const;
   /// Writes what is pending, then ends all threads.
--- a/shell/main.cc
+++ b/shell/main.cc
@@ -1,7 +1,9 @@
 #include <popt.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 
 #include <csignal>
+#include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <ctime>
@@ -25,6 +27,9 @@
 constexpr int kExitSettings = 2;
 constexpr int kExitListen = 3;
 constexpr int kExitInternal = 4;
+constexpr std::int64_t kNanosecondsPerSecond = 1'000'000'000;
+/// The settings file is looked at every two seconds.
+constexpr std::uint64_t kPollsPerCheck = 40;
 
 constexpr const char* kHelpFooter =
     "\n"
@@ -116,7 +121,14 @@
 #endif
 }
 
-int RunDaemon(const settings& settings) {
+/// Time of the last change of the file; zero if it cannot be told.
+std::int64_t ModificationTime(const std::string& path) {
+  struct stat status {};
+  if (::stat(path.c_str(), &status) != 0) return 0;
+  return std::int64_t{status.st_mtim.tv_sec} * kNanosecondsPerSecond + status.st_mtim.tv_nsec;
+}
+
+int RunDaemon(const std::string& path, const settings& settings) {
   const sigset_t signals = BlockSignals();
   RaiseFileLimit();
   const adapter_factory adapter = PlatformAdapter();
@@ -131,8 +143,13 @@
     return started.error().kind == core::base::error_kind::kInvalidSetting ? kExitListen : kExitInternal;
   }
   constexpr timespec kPoll{0, 50'000'000};
-  while (!running.HasLeft()) {
+  std::int64_t modified = ModificationTime(path);
+  for (std::uint64_t poll = 1; !running.HasLeft(); ++poll) {
     const int signal = sigtimedwait(&signals, nullptr, &kPoll);
+    // The file may also change without a signal.
+    const std::int64_t now = poll % kPollsPerCheck == 0 ? ModificationTime(path) : modified;
+    if (signal == SIGHUP || now != modified) running.Reload(ReadSettings(path));
+    modified = now;
     if (signal == SIGTERM || signal == SIGINT) running.Leave();
   }
   running.Stop();
@@ -157,7 +174,7 @@
     fmt::print("{}: no fault found\n", chosen.config);
     return kExitOk;
   }
-  return RunDaemon(*read);
+  return RunDaemon(chosen.config, *read);
 }
 
 }  // namespace
