Take a refused connection of a server that serves for its connection limit, not for a failure

Ruled out: missing configuration (16 refusals only) and slow servers. A server that has served within two seconds keeps its working connections instead; idle connections are closed after three seconds and 0.7 instead of 0.9 of the limit is used, so that the next life finds room.

--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -35,7 +35,7 @@
 constexpr base::duration kDefaultRetryAfter = milliseconds(200);
 constexpr base::duration kMaxRetryAfter = milliseconds(1'000);
 /// A share of the connections of a backend server is left for instances that start or leave.
-constexpr double kConnectionShare = 0.9;
+constexpr double kConnectionShare = 0.7;
 constexpr int kServerErrors = 500;
 constexpr int kSuccess = 200;
 constexpr int kRedirects = 300;
@@ -278,7 +278,13 @@
   return !result.failure.has_value() && result.status >= kSuccess && result.status < kRedirects;
 }
 
+/// A connection that is refused or reset within this time was not accepted.
+constexpr base::duration kRefusalTime = milliseconds(50);
+
 call_verdict VerdictOf(const call_result& result) {
+  const bool refused = result.failure == error_kind::kConnectFailed ||
+                       (result.failure == error_kind::kConnectionLost && result.opened_connection);
+  if (refused && result.elapsed < kRefusalTime) return call_verdict::kConnectionRefused;
   if (!result.failure.has_value()) return result.status < kServerErrors ? call_verdict::kServed : call_verdict::kFailed;
   switch (*result.failure) {
     case error_kind::kConnectFailed:
--- a/core/forwarding/server_choice.cc
+++ b/core/forwarding/server_choice.cc
@@ -31,6 +31,10 @@
 constexpr double kTrialCost = 3;
 constexpr std::uint32_t kEjectAfterFailures = 3;
 constexpr base::duration kFirstEjection = milliseconds(400);
+/// A server that has served a call within this time is up; if it refuses a connection, it has enough of them.
+constexpr base::duration kRecentlyServed = milliseconds(2'000);
+/// How long no further connection to such a server is tried.
+constexpr base::duration kConnectionLimitTime = milliseconds(500);
 constexpr base::duration kMaxEjection = milliseconds(3'000);
 
 double Decay(base::time_point since, base::time_point now, double lifetime_us) {
@@ -110,7 +114,8 @@
     const server& each = table.servers.at(id);
     if (!IsUsable(each, rules, now)) continue;
     // After an ejection one call at a time shows whether the server works again.
-    const std::uint32_t room = each.ejections > 0 ? 1 : rules.max_running;
+    const std::size_t limit = each.connection_limit_until > now ? each.connection_limit : rules.max_running;
+    const std::size_t room = each.ejections > 0 ? 1 : std::min<std::size_t>(limit, rules.max_running);
     const bool full = each.running.size() >= room || EstimateWork(each, now) >= rules.max_work * each.record.slots;
     const bool busy =
         rules.needs_free_slot && (EstimateWork(each, now) >= each.record.slots || OverdueOf(each, now) > 0);
@@ -150,11 +155,22 @@
       AddFailureSample(server, 0, now);
       server.failures_in_row = 0;
       server.ejections = 0;
+      server.served_at = now;
       break;
     case call_verdict::kOverdue:
       // A call that was given up is a lower bound of its time.
       if (slowness > SlownessOf(server, now)) AddSlownessSample(server, slowness, now);
       break;
+    case call_verdict::kConnectionRefused:
+      if (server.served_at == base::time_point{} || now - server.served_at > kRecentlyServed) {
+        AddFailureSample(server, 1, now);
+        Eject(server, now);
+        break;
+      }
+      // The connections that work are used again; a closed one of ours may make room for another.
+      server.connection_limit = std::max<std::size_t>(server.running.size(), 1);
+      server.connection_limit_until = now + kConnectionLimitTime;
+      break;
     case call_verdict::kUnreachable:
       AddFailureSample(server, 1, now);
       Eject(server, now);
--- a/core/forwarding/server_choice.h
+++ b/core/forwarding/server_choice.h
@@ -46,7 +46,16 @@
 double EstimateWork(const server& server, base::time_point now);
 
 /// What a call that ended says about its server.
-enum class call_verdict : std::uint8_t { kServed, kFailed, kUnreachable, kRefused, kOverdue, kNeutral };
+enum class call_verdict : std::uint8_t {
+  kServed,
+  kFailed,
+  kUnreachable,
+  kRefused,
+  kOverdue,
+  kNeutral,
+  /// A new connection was refused or reset at once: the server is down, or has as many as it accepts.
+  kConnectionRefused,
+};
 
 void NoteCallStart(server& server, const running_call& call);
 void NoteCallEnd(server& server, call_id id, call_verdict verdict, base::duration elapsed,
--- a/core/forwarding/server_table.h
+++ b/core/forwarding/server_table.h
@@ -43,6 +43,11 @@
   std::uint32_t failures_in_row = 0;
   std::uint32_t ejections = 0;
   base::time_point ejected_until{};
+  /// When it last served a call of this instance.
+  base::time_point served_at{};
+  /// It accepts no more connections than these of ours, until then.
+  std::size_t connection_limit = 0;
+  base::time_point connection_limit_until{};
   /// Work of other callers, from the last load report.
   double other_work = 0;
   base::time_point load_at{};
--- a/shell/forwarding_gateway.cc
+++ b/shell/forwarding_gateway.cc
@@ -25,6 +25,9 @@
 constexpr std::size_t kMaxCallAnswerBytes = 16 * 1024 * 1024;
 /// A connection that is not accepted within this time counts as refused, and nothing was sent on it.
 constexpr std::chrono::milliseconds kCallConnectTimeout{300};
+/// Connections beyond the usual number of calls are closed soon: a backend server accepts few, and those of a lost
+/// instance count until it notices.
+constexpr std::chrono::seconds kMaxIdle{3};
 constexpr int kNotFound = 404;
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
@@ -135,6 +138,7 @@
   transfer.write_once = true;
   transfer.own_connection = command.own_connection;
   transfer.max_idle = std::chrono::duration_cast<std::chrono::seconds>(command.max_idle);
+  if (transfer.max_idle.count() == 0 || transfer.max_idle > kMaxIdle) transfer.max_idle = kMaxIdle;
   {
     const std::lock_guard lock(g.mutex);
     g.transfers.emplace(command.call, transfer.id);
--- a/tests/core/forwarding/server_choice_test.cc
+++ b/tests/core/forwarding/server_choice_test.cc
@@ -107,6 +107,20 @@
   CHECK(world.Choose().state == choice_state::kNone);
 }
 
+// Guards against servers that are given up because they accept no more connections (the whole fleet of the Cooperative
+// lost its power, and the connections of the lost instances still counted).
+TEST_CASE("a server that refuses a connection is down only if it has not served lately") {
+  choice_world world;
+  const bool served_lately = GENERATE(true, false);
+  if (served_lately) world.End("a", world.Start("a"), call_verdict::kServed, milliseconds(30));
+  const call_id kept = world.Start("a");
+  world.End("a", world.Start("a"), call_verdict::kConnectionRefused, milliseconds(3));
+  world.excluded = {base::backend_server_id("b"), base::backend_server_id("c")};
+  CHECK(world.Choose().state == (served_lately ? choice_state::kFull : choice_state::kNone));
+  world.End("a", kept, call_verdict::kServed, milliseconds(30));
+  if (served_lately) CHECK(world.Choose().state == choice_state::kChosen);
+}
+
 // Guards against hedges that add to a queue: they take a free slot or nothing.
 TEST_CASE("a hedge needs a free slot") {
   choice_world world;
