--- a/shell/transfer_pool.cc
+++ b/shell/transfer_pool.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <curl/curl.h>
+#include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
@@ -349,7 +350,8 @@
     }
     t.header_list = curl_slist_append(t.header_list, "Expect:");
     for (const auto& [name, value] : t.request.headers) {
-      const std::string line = value.empty() ? name + ";" : name + ": " + value;
+      // libcurl sends a field without a value if it ends with a semicolon.
+      const std::string line = value.empty() ? fmt::format("{};", name) : fmt::format("{}: {}", name, value);
       t.header_list = curl_slist_append(t.header_list, line.c_str());
     }
     curl_easy_setopt(h, CURLOPT_HTTPHEADER, t.header_list);
