Compare header names with one function

Cause: the request parser brought a second copy of the comparison that http_framing already had; http_framing now calls it.

--- a/shell/http_framing.cc
+++ b/shell/http_framing.cc
@@ -1,22 +1,17 @@
 #include "shell/http_framing.h"
 
-#include <algorithm>
 #include <charconv>
 #include <optional>
 
 #include <fmt/format.h>
 
+#include "shell/http_request_parser.h"
+
 namespace limpetrouter::shell {
 namespace {
 
 constexpr std::string_view kHeaderEnd = "\r\n\r\n";
 
-char ToLower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
-
-bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return ToLower(x) == ToLower(y); });
-}
-
 std::string_view Trim(std::string_view text) {
   const auto first = text.find_first_not_of(" \t");
   if (first == std::string_view::npos) return {};
