Withhold requests that crash servers on the forwarding path; split requests.cc

Cause: forwarding refused a withheld request but never found one. A request that crashes each server that runs it was bounded by its attempts alone, and came again at any instance.

Change: a call that loses its connection is remembered at its server. If the server refuses connections within 3 s after it, its requests are suspected, and the second such crash withholds the request on every instance. It counts only if its run began after the first one was known and one of the two ran alone, so that servers which fail together do not withhold a good request. A withheld request that is running is not sent again.

Ruled out: counting resets. A connection beyond the server's limit and a network fault look the same; only a refused connection shows a crash.

Before: no suspicion was ever recorded.

--- /dev/null
+++ b/core/forwarding/request_outcome.cc
@@ -0,0 +1,186 @@
+#include "core/forwarding/request_outcome.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "core/forwarding/answers.h"
+
+namespace limpetrouter::core::forwarding {
+namespace {
+
+using base::error_kind;
+using base::executed_state;
+using std::chrono::milliseconds;
+
+/// A call whose answer is no longer needed may end by itself for this time, because closing its connection costs the
+/// backend server a new one.
+constexpr base::duration kLingerTime = milliseconds(250);
+
+/// When one of the service's servers is tried again.
+base::duration RetryAfter(const forwarding_tables& tables, const active_request& request, base::time_point now) {
+  std::optional<base::time_point> earliest;
+  for (const request_part& part : request.parts) {
+    if (part.result.has_value()) continue;
+    for (const base::backend_server_id& id : ServersOf(tables.servers, part.service)) {
+      const server& each = tables.servers.servers.at(id);
+      if (each.ejected_until > now && (!earliest.has_value() || each.ejected_until < *earliest))
+        earliest = each.ejected_until;
+    }
+  }
+  return earliest.has_value() ? std::min(*earliest - now, kMaxRetryAfter) : kDefaultRetryAfter;
+}
+
+answer PassOn(call_result&& result) {
+  answer given;
+  given.executed = executed_state::kYes;
+  given.status = result.status;
+  given.headers = std::move(result.headers);
+  given.body = std::move(result.body);
+  if (!result.signature.empty()) given.signatures.push_back(std::move(result.signature));
+  return given;
+}
+
+/// What the request still lacks, for the log and the caller.
+std::string DescribeGap(const active_request& request) {
+  std::string silent;
+  std::string failed;
+  for (const request_part& part : request.parts) {
+    if (part.result.has_value()) continue;
+    std::string& list = part.calls.empty() && !part.waiting ? failed : silent;
+    list += (list.empty() ? "" : ",") + part.service.value;
+  }
+  std::string detail(base::DescribeError(request.last_failure).message);
+  if (!failed.empty()) return fmt::format("{}: {}", failed, detail);
+  return fmt::format("no answer of {}", silent);
+}
+
+/// What a request ends with that got no answer.
+answer FailureOf(const forwarding_tables& tables, const active_request& request, error_kind kind,
+                 base::time_point now) {
+  executed_state executed = request.executed;
+  for (const request_part& part : request.parts) {
+    if (!part.calls.empty()) executed = CombineExecuted(executed, executed_state::kUnknown);
+  }
+  return MakeFailure({kind, DescribeGap(request)}, executed, RetryAfter(tables, request, now));
+}
+
+struct progress {
+  std::size_t done = 0;
+  std::size_t failed = 0;
+  std::size_t total = 0;
+};
+
+progress ProgressOf(const active_request& request) {
+  progress p;
+  p.total = request.parts.size();
+  for (const request_part& part : request.parts) {
+    if (part.result.has_value()) {
+      ++p.done;
+    } else if (part.failed && part.calls.empty()) {
+      ++p.failed;
+    }
+  }
+  return p;
+}
+
+/// Ends a sharded request if it is whole, cannot become one, or its time has come. Returns true if it has ended.
+bool CheckSharded(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle) {
+  active_request& request = tables.requests.at(handle);
+  const progress p = ProgressOf(request);
+  const base::time_point target = request.content->received + request.route->target_latency - kAnswerMargin;
+  const bool settled = p.done + p.failed == p.total;
+  if (IsEnough(p.done, request) && (settled || ctx.now >= target)) {
+    Finish(tables, ctx, handle, MergeAnswer(request));
+    return true;
+  }
+  const bool hopeless = !IsEnough(p.total - p.failed, request);
+  if (!hopeless && ctx.now < request.deadline - kAnswerMargin) return false;
+  const error_kind kind = hopeless ? error_kind::kNoUsableReplica : error_kind::kDeadlineExceeded;
+  Finish(tables, ctx, handle, FailureOf(tables, request, kind, ctx.now));
+  return true;
+}
+
+bool CheckPlain(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle) {
+  active_request& request = tables.requests.at(handle);
+  request_part& part = request.parts.front();
+  if (part.result.has_value()) {
+    Finish(tables, ctx, handle, PassOn(std::move(*part.result)));
+    return true;
+  }
+  const bool given_up = part.failed && part.calls.empty();
+  if (!given_up && ctx.now < request.deadline) return false;
+  if (part.fallback.has_value() && part.calls.empty()) {
+    Finish(tables, ctx, handle, PassOn(std::move(*part.fallback)));
+    return true;
+  }
+  const error_kind kind = given_up ? request.last_failure : error_kind::kDeadlineExceeded;
+  Finish(tables, ctx, handle, FailureOf(tables, request, kind, ctx.now));
+  return true;
+}
+
+}  // namespace
+
+bool IsEnough(std::size_t parts, const active_request& request) {
+  constexpr double kRounding = 1e-9;
+  return parts > 0 && static_cast<double>(parts) >=
+                          request.route->minimum_coverage * static_cast<double>(request.parts.size()) - kRounding;
+}
+
+void LetCallsLinger(forwarding_tables& tables, const instance::context& ctx, const request_part& part) {
+  for (const call_id id : part.calls) {
+    call& running = tables.calls.at(id);
+    if (!running.lingers_until.has_value()) running.lingers_until = ctx.now + kLingerTime;
+  }
+}
+
+void EndCalls(forwarding_tables& tables, const instance::context& ctx, const active_request& request) {
+  // A call that must not repeat ends by itself, so that its effect is not cut in half.
+  if (!IsIdempotent(request)) return;
+  for (const request_part& part : request.parts)
+    LetCallsLinger(tables, ctx, part);
+}
+
+void Finish(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle, answer given) {
+  const auto found = tables.requests.find(handle);
+  active_request& request = found->second;
+  SendAnswer(tables, ctx, handle, request, std::move(given));
+  EndCalls(tables, ctx, request);
+  tables.requests.erase(found);
+}
+
+bool CheckProgress(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle) {
+  const auto found = tables.requests.find(handle);
+  if (found == tables.requests.end()) return true;
+  return IsSharded(found->second) ? CheckSharded(tables, ctx, handle) : CheckPlain(tables, ctx, handle);
+}
+
+bool IsSuccess(const call_result& result) {
+  constexpr int kFirstSuccess = 200;
+  constexpr int kFirstRedirect = 300;
+  return !result.failure.has_value() && result.status >= kFirstSuccess && result.status < kFirstRedirect;
+}
+
+void TakeResult(active_request& request, request_part& part, call_result&& result) {
+  request.executed = CombineExecuted(request.executed, result.executed);
+  if (IsSuccess(result)) {
+    part.result = std::move(result);
+    return;
+  }
+  if (result.failure.has_value()) {
+    request.last_failure = *result.failure;
+    return;
+  }
+  request.last_failure = error_kind::kBackendFailed;
+  // An answer such as 404 is the backend server's own and final; its 500 stands if no other server does better.
+  if (result.status < kFirstServerError && request.route->shards.empty()) {
+    part.result = std::move(result);
+  } else {
+    part.fallback = std::move(result);
+  }
+}
+
+}  // namespace limpetrouter::core::forwarding
--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -36,9 +36,9 @@
 struct call {
   base::reply_handle request;
   std::size_t part = 0;
+  base::fingerprint_id fingerprint;
   base::backend_server_id server;
   base::time_point started{};
-  bool hedge = false;
   /// The answer is no longer needed; the call may end by itself until then, which keeps its connection.
   std::optional<base::time_point> lingers_until;
 };
@@ -78,6 +78,9 @@
   std::uint32_t retries = 0;
 };
 
+inline bool IsIdempotent(const active_request& request) { return request.route->repeat == repetition::kIdempotent; }
+inline bool IsSharded(const active_request& request) { return !request.route->shards.empty(); }
+
 /// An instance that learns from this one what the platform publishes.
 struct follower {
   std::uint64_t revision = 0;
--- a/core/forwarding/requests.h
+++ b/core/forwarding/requests.h
@@ -15,7 +15,4 @@
 /// Sends hedges and waiting parts, ends requests whose time has come, and cancels calls that linger too long.
 void RunRequests(forwarding_tables& tables, instance::context& ctx);
 
-/// Latency that half of the route's recent calls kept within, or a guess from its target.
-base::duration UsualLatency(const forwarding_tables& tables, const route& route);
-
 }  // namespace limpetrouter::core::forwarding
--- a/core/forwarding/server_choice.cc
+++ b/core/forwarding/server_choice.cc
@@ -156,6 +156,7 @@
       server.failures_in_row = 0;
       server.ejections = 0;
       server.served_at = now;
+      server.lost_runs.clear();
       break;
     case call_verdict::kOverdue:
       // A call that was given up is a lower bound of its time.
--- a/core/forwarding/server_table.cc
+++ b/core/forwarding/server_table.cc
@@ -59,7 +59,7 @@
   if (found == table.servers.end()) {
     server added;
     added.record = record;
-    added.seen = added.first_seen = added.slowness_at = added.failure_at = now;
+    added.seen = added.slowness_at = added.failure_at = now;
     table.by_service[record.service].push_back(record.id);
     table.servers.emplace(record.id, std::move(added));
     changes.push_back({record.id, record.draining ? "added draining" : "added", record.revision});
@@ -83,7 +83,7 @@
     std::vector<running_call> running = std::move(known.running);
     known = server{};
     known.record = record;
-    known.seen = known.first_seen = known.slowness_at = known.failure_at = now;
+    known.seen = known.slowness_at = known.failure_at = now;
     known.running = std::move(running);
   }
   if (restarted || drains) changes.push_back({record.id, restarted ? "restarted" : "draining", record.revision});
@@ -95,7 +95,6 @@
   std::vector<server_change> applied;
   if (changes.whole && changes.revision < table.revision) return applied;
   if (table.contact_since == base::time_point{}) table.contact_since = now;
-  table.last_contact = now;
   std::set<base::backend_server_id> listed;
   for (const server_record& record : changes.servers) {
     listed.insert(record.id);
--- a/core/forwarding/server_table.h
+++ b/core/forwarding/server_table.h
@@ -22,12 +22,20 @@
   base::duration expected{};
 };
 
+/// A call that lost its connection before an answer began.
+struct lost_run {
+  base::fingerprint_id fingerprint;
+  base::time_point started{};
+  base::time_point lost{};
+  /// Calls of other instances that ran at the server then, from its load report.
+  double other_work = 0;
+};
+
 /// A backend server: what the register says, and what this instance has seen of it.
 struct server {
   server_record record;
-  /// When the record was last read, and when this start was first read.
+  /// When the record was last read.
   base::time_point seen{};
-  base::time_point first_seen{};
   /// The entry has gone from the register at a time when entries may lapse wrongly; zero otherwise.
   base::time_point missing_since{};
   /// Another server answered at its address.
@@ -51,6 +59,8 @@
   /// Work of other callers, from the last load report.
   double other_work = 0;
   base::time_point load_at{};
+  /// Since it last served a call.
+  std::vector<lost_run> lost_runs;
   /// How long it keeps idle connections, from its answers; zero if it has not said.
   base::duration max_idle{};
 };
@@ -63,7 +73,6 @@
   bool known = false;
   /// Since when the register was read without a gap.
   base::time_point contact_since{};
-  base::time_point last_contact{};
   /// Removals of the last second, to recognise entries that lapse together.
   std::vector<base::time_point> recent_removals;
   /// Latest removals with their revisions, for instances that follow this one.
--- a/core/membership/fact_table.cc
+++ b/core/membership/fact_table.cc
@@ -31,6 +31,7 @@
 void Put(fact_table& table, const peer::fact& fact, base::duration lifetime, base::time_point now) {
   known_fact& known = table.facts[{fact.kind, fact.subject}];
   known.fact = fact;
+  known.learned = now;
   known.fact.expires_in_us = Expires(fact.kind) ? lifetime.count() : 0;
   known.expires = Expires(fact.kind) ? now + lifetime : base::time_point::max();
   known.transmissions_left = kFactTransmissions;
@@ -178,6 +179,12 @@
   return suspicion{known->fact.boot, known->fact.revision != 0};
 }
 
+std::optional<base::time_point> SuspectedSince(const fact_table& table, base::fingerprint_id fingerprint,
+                                               base::time_point now) {
+  const known_fact* const known = FindLive(table, fact_kind::kRequestSuspected, base::ToHex(fingerprint.value), now);
+  return known == nullptr ? std::nullopt : std::optional(known->learned);
+}
+
 bool IsSuspected(const fact_table& table, base::fingerprint_id fingerprint, base::time_point now) {
   return FindSuspicion(table, fingerprint, now).has_value();
 }
--- a/core/membership/fact_table.h
+++ b/core/membership/fact_table.h
@@ -16,6 +16,7 @@
 
 struct known_fact {
   peer::fact fact;
+  base::time_point learned{};
   /// Not used for drains, which do not expire.
   base::time_point expires{};
   /// How many more messages carry it.
@@ -72,6 +73,9 @@
                      base::time_point now);
 
 std::optional<suspicion> FindSuspicion(const fact_table& table, base::fingerprint_id fingerprint, base::time_point now);
+/// When this instance learned of the suspicion, or nothing if there is none.
+std::optional<base::time_point> SuspectedSince(const fact_table& table, base::fingerprint_id fingerprint,
+                                               base::time_point now);
 bool IsSuspected(const fact_table& table, base::fingerprint_id fingerprint, base::time_point now);
 
 /// Takes over a fact that another instance sent. Returns true if it was news, which is then passed on. The result does
--- a/tests/core/forwarding/forwarding_world.h
+++ b/tests/core/forwarding/forwarding_world.h
@@ -83,10 +83,11 @@
     ApplyRecords(tables.servers, changes, now);
   }
 
-  base::reply_handle Send(std::optional<base::duration> patience = {}) {
+  /// Requests differ from each other unless `query` is given.
+  base::reply_handle Send(std::optional<base::duration> patience = {}, const std::string& query = "") {
     auto content = std::make_shared<request>();
     content->method = "GET";
-    content->target = "/p/x?" + std::to_string(next_handle);
+    content->target = "/p/x?" + (query.empty() ? std::to_string(next_handle) : query);
     content->path = "/p/x";
     content->host = "h";
     content->attempt = "attempt" + std::to_string(next_handle);
