Let an instance that serves both kinds of callers wait for the longer address validity

Cause: a leaving instance with forwarding used the time of forwarded addresses alone and exited under callers of the product's own interface.

The bound that the platform sets still ends an instance early.

--- a/core/instance/instance.cc
+++ b/core/instance/instance.cc
@@ -1,5 +1,7 @@
 #include "core/instance/instance.h"
 
+#include <algorithm>
+
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -159,21 +161,20 @@
 /// How long a leaving instance must still accept requests: its address may have been handed out just before the last
 /// peer learnt that it leaves.
 base::duration LeaveGrace(const instance& instance) {
-  if (instance.forwarding.enabled) return forwarding::LeaveTime(instance.forwarding);
   constexpr base::duration kSpreadMargin = std::chrono::seconds(2);
   const config::configuration_ptr& config = instance.membership.store.in_force;
-  if (config == nullptr) return kSpreadMargin;
-  return config->limit.address_validity + kSpreadMargin;
+  const base::duration own = config == nullptr ? base::duration{0} : config->limit.address_validity + kSpreadMargin;
+  if (instance.forwarding.enabled) return std::max(own, forwarding::LeaveTime(instance.forwarding));
+  return std::max(own, kSpreadMargin);
 }
 
 void CheckExit(instance& instance, base::time_point now, io::command_list& out) {
-  if (!instance.leaving || instance.exited || now < instance.leave_at) return;
-  const bool idle =
-      forwarding::IsIdle(instance.forwarding) && entry::IsIdle(instance.entry, now) && gather::IsIdle(instance.gather);
+  if (!instance.leaving || instance.exited) return;
+  const bool idle = now >= instance.leave_at && forwarding::IsIdle(instance.forwarding) &&
+                    entry::IsIdle(instance.entry, now) && gather::IsIdle(instance.gather);
   // The platform kills a forwarding instance that outstays its grace, so it ends by itself before.
-  const bool overdue = instance.forwarding.enabled && now >= instance.leave_at +
-                                                                 forwarding::MaxLeaveTime(instance.forwarding) -
-                                                                 forwarding::LeaveTime(instance.forwarding);
+  const bool overdue =
+      instance.forwarding.enabled && now >= instance.leave_began + forwarding::MaxLeaveTime(instance.forwarding);
   if (!idle && !overdue) return;
   instance.exited = true;
   out.push_back(io::exit_process{});
@@ -194,6 +195,7 @@
   CheckPause(instance, now, out);
   if (std::holds_alternative<io::leave_requested>(event) && !instance.leaving) {
     instance.leaving = true;
+    instance.leave_began = now;
     instance.leave_at = now + LeaveGrace(instance);
     ++instance.membership.members.version;
   }
--- a/core/instance/instance.h
+++ b/core/instance/instance.h
@@ -28,6 +28,8 @@
   forwarding::forwarding_tables forwarding;
   base::random_source random;
   base::time_point last_run{};
+  /// When it was told to leave, and until when callers may still come.
+  base::time_point leave_began{};
   base::time_point leave_at{};
   bool leaving = false;
   bool exited = false;
