--- a/tests/scenario/checkers.cc
+++ b/tests/scenario/checkers.cc
@@ -10,6 +10,7 @@
 
 #include "core/base/digest.h"
 #include "tests/scenario/data_set.h"
+#include "tests/scenario/forward_checkers.h"
 
 namespace limpetrouter::tests::scenario {
 namespace {
@@ -317,8 +318,13 @@
 }
 
 std::vector<property_report> CheckAll(const world& world) {
-  return {CheckOneSnapshot(world), CheckTrueCoverage(world), CheckOwnAnswer(world), CheckNotRunIsTrue(world),
-          CheckAtMostOnce(world),  CheckDrains(world),       CheckShutdown(world),  CheckConfiguration(world)};
+  std::vector<property_report> reports = {CheckOneSnapshot(world),  CheckTrueCoverage(world), CheckOwnAnswer(world),
+                                          CheckNotRunIsTrue(world), CheckAtMostOnce(world),   CheckDrains(world),
+                                          CheckShutdown(world),     CheckConfiguration(world)};
+  for (const auto check : {CheckForwardAnswer, CheckForwardCoverage, CheckForwardNotRun, CheckForwardOnce,
+                           CheckForwardDrain, CheckForwardBudget})
+    reports.push_back(check(world));
+  return reports;
 }
 
 }  // namespace limpetrouter::tests::scenario
--- /dev/null
+++ b/tests/scenario/forward_checkers.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "tests/scenario/checkers.h"
+
+namespace limpetrouter::tests::scenario {
+
+/// A backend server that drains takes no call later than this after its entry.
+inline constexpr base::duration kForwardDrainBound = std::chrono::seconds(3);
+
+// One checker for each property of forwarded requests. Each runs over the whole trace.
+
+/// The answer is the caller's own, in time, and from the backend servers that it names.
+property_report CheckForwardAnswer(const world& world);
+/// A merged answer states what is missing, has its route's coverage, and the greatest records of the other parts.
+property_report CheckForwardCoverage(const world& world);
+/// After a status that promises it, no backend server has run the try.
+property_report CheckForwardNotRun(const world& world);
+/// A request that must not repeat ran at most once, and no part went to more servers than its route allows.
+property_report CheckForwardOnce(const world& world);
+property_report CheckForwardDrain(const world& world);
+/// Repeated sends of all instances together in any window.
+property_report CheckForwardBudget(const world& world);
+
+}  // namespace limpetrouter::tests::scenario
--- a/tests/scenario/mix.cc
+++ b/tests/scenario/mix.cc
@@ -11,7 +11,7 @@
 namespace {
 
 /// A failure that begins at {0} ms and ends at {1} ms. {2} and {3} are numbers of instances from 1 to 9, {4} is a data
-/// centre, {5} a number of a replicated service from 0 to 3.
+/// centre, {5} a number of a replicated service or of a forwarded part from 0 to 3.
 struct failure_template {
   std::string_view name;
   std::string_view actions;
@@ -35,6 +35,11 @@
     failure_template{"crashing request", "load stock/search rate 4 from {0}ms to {1}ms bodies 1 crashes copies 3\n"},
     failure_template{"lagging list", "at {0}ms list-lag 15s\n"},
     failure_template{"stragglers", "backends * straggler-share 0.02\n"},
+    failure_template{"server crash", "at {0}ms server-down */{5}\nat {1}ms server-up *\n"},
+    failure_template{"server drain", "at {0}ms server-drain sweep-{5}/1\n"},
+    failure_template{"servers silent", "at {0}ms server-silent sweep-{5}/*\nat {1}ms server-answers *\n"},
+    failure_template{"crashing forwarded request", "forward-load lookup rate 1 from {0}ms to {1}ms crashes\n"},
+    failure_template{"whole fleet lost", "at {0}ms kill k*\nat {1}ms start k*\n"},
     failure_template{"doubled messages", "network duplicates 0.05 jitter 3ms\n"},
 };
 
@@ -43,7 +48,13 @@
     "load stock/sweep rate 30\n"
     "load stock/check rate 10 urgent deadline 500ms\n"
     "load archive/lookup rate 15\n"
-    "load archive/transfer rate 10 once unique-key resends 2 deadline 600ms copies 2\n";
+    "load archive/transfer rate 10 once unique-key resends 2 deadline 600ms copies 2\n"
+    "forward-route sweep shards 4 coverage 0.75 attempts 3\n"
+    "forward-route lookup servers 4 attempts 3\n"
+    "forward-route ticket servers 4 once attempts 3\n"
+    "forward-load sweep rate 20\n"
+    "forward-load lookup rate 15\n"
+    "forward-load ticket rate 10\n";
 
 }  // namespace
 
--- a/tests/scenario/script.cc
+++ b/tests/scenario/script.cc
@@ -79,6 +79,8 @@
   std::vector<words> network;
   std::vector<words> loads;
   std::vector<words> backends;
+  std::vector<words> forward_routes;
+  std::vector<words> forward_loads;
   std::vector<std::pair<base::duration, words>> actions;
   std::vector<expectation> expectations;
   base::duration length = std::chrono::seconds(20);
@@ -105,6 +107,38 @@
   return load;
 }
 
+std::uint32_t ParseCount(const std::string& text) { return static_cast<std::uint32_t>(ParseNumber(text)); }
+
+forward_route_spec ParseForwardRoute(const words& line) {
+  forward_route_spec route;
+  route.name = Word(line, 1, "route");
+  if (const auto v = Option(line, "shards")) route.shards = ParseCount(*v);
+  if (const auto v = Option(line, "servers")) route.servers = ParseCount(*v);
+  if (const auto v = Option(line, "slots")) route.slots = ParseCount(*v);
+  if (const auto v = Option(line, "attempts")) route.attempts = ParseCount(*v);
+  if (const auto v = Option(line, "coverage")) route.coverage = ParseNumber(*v);
+  if (const auto v = Option(line, "target")) route.target = ParseDuration(*v);
+  if (const auto v = Option(line, "timeout")) route.timeout = ParseDuration(*v);
+  if (const auto v = Option(line, "work")) route.work = ParseDuration(*v);
+  route.once = Flag(line, "once");
+  return route;
+}
+
+forward_load_spec ParseForwardLoad(const words& line) {
+  forward_load_spec load;
+  load.route = Word(line, 1, "route");
+  if (const auto v = Option(line, "rate")) load.rate = ParseNumber(*v);
+  if (const auto v = Option(line, "from")) load.from = PointAt(ParseDuration(*v));
+  if (const auto v = Option(line, "to")) load.to = PointAt(ParseDuration(*v));
+  load.crashes = Flag(line, "crashes");
+  return load;
+}
+
+void ForForwardServers(world& world, const words& line, const std::function<void(const std::string&)>& act) {
+  for (const std::string& id : world.ForwardServersMatching(Word(line, 1, "backend server")))
+    act(id);
+}
+
 void SetBackendTime(world& world, const words& line) {
   for (const std::string& id : world.BackendsMatching(Word(line, 1, "backend server"))) {
     fake_backend& server = world.backend(id);
@@ -219,6 +253,25 @@
        [](world& w, const words& l) { ForInstances(w, l, [&](const auto& id) { w.SetPlatformCut(id, false); }); }},
       {"list-lag", [](world& w, const words& l) { w.SetListLag(ParseDuration(Word(l, 1, "duration"))); }},
       {"publish", RunPublish},
+      {"server-down",
+       [](world& w, const words& l) { ForForwardServers(w, l, [&](const auto& id) { w.CrashForwardServer(id); }); }},
+      {"server-up",
+       [](world& w, const words& l) { ForForwardServers(w, l, [&](const auto& id) { w.StartForwardServer(id); }); }},
+      {"server-drain",
+       [](world& w, const words& l) { ForForwardServers(w, l, [&](const auto& id) { w.DrainForwardServer(id); }); }},
+      {"server-silent",
+       [](world& w, const words& l) {
+         ForForwardServers(w, l, [&](const auto& id) { w.ForwardServer(id).silent = true; });
+       }},
+      {"server-answers",
+       [](world& w, const words& l) {
+         ForForwardServers(w, l, [&](const auto& id) { w.ForwardServer(id).silent = false; });
+       }},
+      {"server-slow",
+       [](world& w, const words& l) {
+         const double factor = ParseNumber(Word(l, 2, "factor"));
+         ForForwardServers(w, l, [&](const auto& id) { w.ForwardServer(id).slow = factor; });
+       }},
   };
   return actions;
 }
@@ -239,6 +292,32 @@
   return ParseNumber(text);
 }
 
+/// Figures of forwarded requests: shares of the tries that were sent between `from` and `to`.
+std::optional<double> ForwardFigureOf(const trace& trace, const words& line, const selection& chosen) {
+  const std::string& name = line[1];
+  if (name == "forward-crashes") return static_cast<double>(trace.forward_crashes);
+  const bool known = name == "served" || name == "forward-refused" || name == "forward-tries" || name == "partial";
+  if (!known) return std::nullopt;
+  const auto route = Option(line, "of");
+  std::map<std::uint64_t, bool> served;
+  double tries = 0;
+  double refused = 0;
+  double partial = 0;
+  for (const forward_try& made : trace.forward_tries) {
+    if (made.sent < chosen.from || made.sent >= chosen.to || (route.has_value() && made.route != *route)) continue;
+    ++tries;
+    const int status = made.answer.has_value() ? made.answer->status : 0;
+    served[made.request] = served[made.request] || status == 200;
+    refused += status == 503 || status == 429 ? 1 : 0;
+    partial += status == 200 && made.answer->missing_parts > 0 ? 1 : 0;
+  }
+  if (name == "forward-tries") return tries;
+  if (name == "forward-refused") return refused / std::max(tries, 1.0);
+  if (name == "partial") return partial / std::max(tries, 1.0);
+  const auto count = std::count_if(served.begin(), served.end(), [](const auto& item) { return item.second; });
+  return static_cast<double>(count) / std::max<double>(static_cast<double>(served.size()), 1.0);
+}
+
 /// Figure of an expectation: "expect FIGURE OP BOUND [from T] [to T] [of collection/operation] [urgent]".
 double FigureOf(const world& world, const words& line) {
   selection chosen;
@@ -248,6 +327,7 @@
   chosen.urgent_only = Flag(line, "urgent");
   const std::string& name = Word(line, 1, "figure");
   const trace& trace = world.record();
+  if (const auto figure = ForwardFigureOf(trace, line, chosen)) return *figure;
   if (name == "crashes") return static_cast<double>(trace.crashes);
   if (name == "connection-violations") return static_cast<double>(trace.connection_limit_violations);
   if (name == "sheds") return static_cast<double>(trace.sheds);
@@ -283,6 +363,12 @@
   } else if (verb == "load") {
     ParseLoad(line);
     script.loads.push_back(line);
+  } else if (verb == "forward-route") {
+    ParseForwardRoute(line);
+    script.forward_routes.push_back(line);
+  } else if (verb == "forward-load") {
+    ParseForwardLoad(line);
+    script.forward_loads.push_back(line);
   } else if (verb == "backends") {
     script.backends.push_back(line);
   } else if (verb == "at") {
@@ -342,6 +428,10 @@
     SetBackendTime(world, line);
   for (const words& line : script.loads)
     world.AddLoad(ParseLoad(line));
+  for (const words& line : script.forward_routes)
+    world.AddForwardRoute(ParseForwardRoute(line));
+  for (const words& line : script.forward_loads)
+    world.AddForwardLoad(ParseForwardLoad(line));
   for (const auto& [when, action] : script.actions) {
     world.At(when, [&world, action = action] { Actions().at(action[0])(world, action); });
   }
--- a/tests/scenario/trace.h
+++ b/tests/scenario/trace.h
@@ -2,12 +2,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "core/base/strong_id.h"
 #include "core/base/time.h"
+#include "core/forwarding/messages.h"
 #include "core/peer/messages.h"
 
 namespace limpetrouter::tests::scenario {
@@ -101,6 +103,46 @@
   bool killed = false;
 };
 
+/// One try of a caller of forwarded requests: tries of one request have the same content and different ids.
+struct forward_try {
+  std::uint64_t request = 0;
+  std::string attempt;
+  std::string route;
+  std::string content;
+  base::time_point sent;
+  base::instance_id instance;
+  std::optional<core::forwarding::answer> answer;
+  base::time_point answered{};
+  /// The instance ended, or could not be reached.
+  bool lost = false;
+};
+
+/// A call that an instance sent to a backend server.
+struct forward_call {
+  base::time_point at;
+  std::string attempt;
+  std::string service;
+  std::string server;
+  base::instance_id instance;
+  /// It did not reach the server.
+  bool unreachable = false;
+};
+
+/// A forwarded request that a backend server began to run.
+struct forward_run {
+  base::time_point at;
+  std::uint64_t request = 0;
+  std::string attempt;
+  std::string service;
+  std::string server;
+};
+
+/// A backend server whose entry says that it drains.
+struct forward_drain {
+  base::time_point at;
+  std::string server;
+};
+
 /// An interval in which an instance could not act or could not reach the others.
 struct outage_record {
   base::instance_id instance;
@@ -118,6 +160,12 @@
   std::vector<drain_refusal> drain_refusals;
   std::vector<life_record> lives;
   std::vector<outage_record> outages;
+  std::vector<forward_try> forward_tries;
+  std::vector<forward_call> forward_calls;
+  std::vector<forward_run> forward_runs;
+  std::vector<forward_drain> forward_drains;
+  /// Crashes of backend servers that a forwarded request caused.
+  std::uint64_t forward_crashes = 0;
   /// Crashes of backend servers that a request caused.
   std::uint64_t crashes = 0;
   /// Backend calls that reached a server or failed to connect.
--- a/tests/scenario/world.cc
+++ b/tests/scenario/world.cc
@@ -141,6 +141,9 @@
   self.http_address = "http:" + instance;
   p.core =
       std::make_unique<core::instance::instance>(core::instance::MakeInstance(self, base::NextRandom(random_), now_));
+  p.core->forwarding.enabled = forward_.enabled();
+  // Callers of the product's own interface use an address for longer than those of forwarded requests.
+  p.core->forwarding.bounds.shutdown_grace = std::chrono::seconds(30);
   p.running = true;
   p.frozen = false;
   p.held.clear();
@@ -170,6 +173,7 @@
     trace_.requests[request].losses.push_back({now_, base::instance_id(instance), true});
     Schedule(network_.from_callers, [this, request, instance] { Resend(request, 1, instance); });
   }
+  LoseForwardTries(instance);
   p.requests_by_handle.clear();
   p.calls.clear();
   p.connections.clear();
@@ -262,6 +266,7 @@
   const std::string id = p.spec.id;
   for (io::command& command : commands) {
     if (!p.running) return;
+    if (ExecuteForwarding(p, command)) continue;
     if (auto* reply = std::get_if<io::reply_query>(&command)) {
       const auto it = p.requests_by_handle.find(reply->handle.value);
       if (it == p.requests_by_handle.end()) continue;
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -16,6 +16,7 @@
 #include "core/config/configuration.h"
 #include "core/instance/instance.h"
 #include "tests/scenario/fake_backend.h"
+#include "tests/scenario/forward_world.h"
 #include "tests/scenario/trace.h"
 
 namespace limpetrouter::tests::scenario {
@@ -94,6 +95,18 @@
   /// The configuration of a published revision, or null if that revision is invalid.
   core::config::configuration_ptr ConfigurationAt(std::uint64_t revision) const;
 
+  // Forwarded requests (world_forwarding.cc).
+  void AddForwardRoute(const forward_route_spec& route);
+  void AddForwardLoad(const forward_load_spec& load);
+  std::vector<std::string> ForwardServersMatching(const std::string& pattern) const;
+  forward_server& ForwardServer(const std::string& id) { return forward_.servers.at(id); }
+  /// All calls at the server break. Its entry is deleted after the lease of two seconds.
+  void CrashForwardServer(const std::string& id);
+  /// Starts it again with a new incarnation.
+  void StartForwardServer(const std::string& id);
+  void DrainForwardServer(const std::string& id);
+  const forward_fakes& forwarding() const { return forward_; }
+
   trace& record() { return trace_; }
   const trace& record() const { return trace_; }
   void KeepLog(bool keep) { keep_log_ = keep; }
@@ -168,6 +181,26 @@
   std::string PickInstance(const std::string& caller);
   void ReceiveAnswer(std::size_t request, const std::string& instance, const peer::query_answer& answer);
 
+  // Forwarded requests (world_forwarding.cc).
+  bool ExecuteForwarding(process& p, core::io::command& command);
+  void PublishServer(const std::string& id);
+  void UnpublishServer(const std::string& id, std::uint64_t incarnation);
+  core::forwarding::published_changes PublishedAll() const;
+  void ListPublished(process& p, std::uint64_t read);
+  void WatchPublished(process& p, const core::io::watch_published& watch);
+  void StartForwardCall(process& p, const core::io::start_call& call);
+  void ArriveForwardCall(const std::string& server, forward_server::held_call held);
+  void RunForwardCall(forward_server& server, forward_server::held_call held);
+  void FinishForwardRun(const std::string& server, std::uint64_t run);
+  void StartQueuedForward(forward_server& server);
+  void DropForwardCalls(const std::string& instance, std::uint64_t life, std::optional<std::uint64_t> call);
+  void EndForwardCall(const forward_server::held_call& held, core::forwarding::call_result result, bool at_once);
+  void NextForwardArrival(std::size_t load);
+  void SendForwardTry(std::uint64_t request, const std::string& route, const std::string& content,
+                      base::time_point first_sent, std::uint32_t number);
+  void RetryForward(const forward_try& failed, base::duration pause, base::time_point first_sent, std::uint32_t number);
+  void LoseForwardTries(const std::string& instance);
+
   // Platform.
   void ReadConfiguration(process& p, const core::io::read_configuration& read);
   void ReadInstanceList(process& p);
@@ -198,6 +231,13 @@
   };
   std::map<std::string, std::vector<list_state>> list_history_;
 
+  forward_fakes forward_;
+  struct forward_caller_state {
+    base::time_point first_sent;
+    std::uint32_t number = 0;
+  };
+  std::map<std::size_t, forward_caller_state> forward_callers_;
+
   std::vector<load_spec> loads_;
   std::map<std::string, address_cache> address_caches_;
   std::map<std::uint64_t, std::function<void(const core::io::addresses_answer&)>> address_waiters_;
