State the time left to a backend server as the call is written, and count the time at the socket

A request that waited at the socket was also dated by its reading, not by its arrival.

Change: a call carries its deadline as a point in time. The pool fills in the header field in libcurl's callback right before it writes the request. The server for callers subtracts how long the bytes waited (TCP_INFO).

Before: the new tests fail ("stated 996 ms, left at the end 693 ms").

Trimming of field values stands once (http_framing).

--- a/core/forwarding/request_calls.cc
+++ b/core/forwarding/request_calls.cc
@@ -123,7 +123,7 @@
   command.server = chosen.server;
   command.address = target.record.address;
   command.request = request.content;
-  command.remaining = request.deadline - ctx.now;
+  command.deadline = request.deadline;
   command.own_connection = !IsIdempotent(request);
   command.max_idle = target.max_idle;
   ctx.out.emplace_back(std::move(command));
--- a/core/io/command.h
+++ b/core/io/command.h
@@ -95,8 +95,8 @@
   base::backend_server_id server;
   std::string address;
   forwarding::request_ptr request;
-  /// Time left for the whole call, which the backend server is told.
-  base::duration remaining{};
+  /// End of the whole call. The backend server is told what is left when the call is written.
+  base::time_point deadline{};
   /// The call must not be lost to a connection that has died unnoticed, so it gets a new one.
   bool own_connection = false;
   /// An idle connection is not used again after this time.
--- a/shell/core_loop.cc
+++ b/shell/core_loop.cc
@@ -11,18 +11,9 @@
 #include <vector>
 
 namespace limpetrouter::shell {
-namespace {
-
 using core::base::duration;
 using core::base::time_point;
 
-/// From now until `at` on the core's clock.
-std::chrono::steady_clock::time_point ToSteady(time_point at) {
-  return std::chrono::steady_clock::now() + (at - CoreNow());
-}
-
-}  // namespace
-
 time_point CoreNow() {
   timespec now{};
   clock_gettime(CLOCK_BOOTTIME, &now);
@@ -30,6 +21,10 @@
                     std::chrono::duration_cast<duration>(std::chrono::nanoseconds(now.tv_nsec)));
 }
 
+std::chrono::steady_clock::time_point ToSteady(time_point at) {
+  return std::chrono::steady_clock::now() + (at - CoreNow());
+}
+
 struct core_loop::impl {
   using item = std::variant<core::io::event, task>;
 
--- a/shell/core_loop.h
+++ b/shell/core_loop.h
@@ -14,6 +14,8 @@
 /// The clock that the core sees: monotonic, and it goes on while the machine is suspended, so that a deadline that
 /// passed meanwhile is recognised.
 core::base::time_point CoreNow();
+/// The same moment on the clock of timers.
+std::chrono::steady_clock::time_point ToSteady(core::base::time_point at);
 
 struct core_ports {
   /// Carries out a command. Must not block.
--- a/shell/forwarding_gateway.cc
+++ b/shell/forwarding_gateway.cc
@@ -17,7 +17,6 @@
 using core::base::executed_state;
 using core::base::reply_handle;
 using core::forwarding::call_id;
-using std::chrono::steady_clock;
 
 /// One thread takes the requests of all callers: an instance has a fraction of a processor.
 constexpr std::uint32_t kServerThreads = 1;
@@ -74,7 +73,8 @@
   }
 
   void TakeRequest(reply_handle handle, http_request&& received) {
-    const core::base::time_point now = CoreNow();
+    // The caller's time runs while its request waits to be read.
+    const core::base::time_point arrived = CoreNow() - received.waited;
     core::base::result<core::forwarding::request> decoded = adapter.decode_request(std::move(received));
     if (!decoded.has_value()) {
       core::forwarding::answer refusal;
@@ -84,7 +84,7 @@
       entry.Answer(handle, adapter.encode_answer(nullptr, std::move(refusal)));
       return;
     }
-    decoded->received = now;
+    decoded->received = arrived;
     post(core::io::request_received{handle, std::make_shared<const core::forwarding::request>(std::move(*decoded))});
   }
 
@@ -132,7 +132,7 @@
   impl& g = *impl_;
   transfer_request transfer = g.adapter.encode_call(command);
   transfer.id = g.pool.NewId();
-  transfer.deadline = steady_clock::now() + command.remaining;
+  transfer.deadline = ToSteady(command.deadline);
   transfer.max_answer_bytes = kMaxCallAnswerBytes;
   transfer.connect_timeout = kCallConnectTimeout;
   transfer.write_once = true;
--- a/shell/http_framing.cc
+++ b/shell/http_framing.cc
@@ -12,12 +12,6 @@
 
 constexpr std::string_view kHeaderEnd = "\r\n\r\n";
 
-std::string_view Trim(std::string_view text) {
-  const auto first = text.find_first_not_of(" \t");
-  if (first == std::string_view::npos) return {};
-  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 request_frame Fault(request_state state, std::string detail) { return {state, 0, std::move(detail), false}; }
 
 /// What the header says about the body.
@@ -48,7 +42,7 @@
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos) {
       const std::string_view name = line.substr(0, colon);
-      const std::string_view value = Trim(line.substr(colon + 1));
+      const std::string_view value = TrimBlanks(line.substr(colon + 1));
       if (EqualsIgnoringCase(name, "content-length")) ReadLength(value, out);
       if (EqualsIgnoringCase(name, "transfer-encoding")) out.chunked = true;
       if (EqualsIgnoringCase(name, "expect")) out.expects_continue = EqualsIgnoringCase(value, "100-continue");
@@ -60,6 +54,12 @@
 
 }  // namespace
 
+std::string_view TrimBlanks(std::string_view text) {
+  const auto first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
 request_frame FrameRequest(std::string_view input, std::size_t max_bytes) {
   const std::string too_large = fmt::format("the request exceeds {} bytes", max_bytes);
   const std::size_t end = input.substr(0, max_bytes).find(kHeaderEnd);
--- a/shell/http_framing.h
+++ b/shell/http_framing.h
@@ -30,4 +30,7 @@
 /// Bodies need a Content-Length; chunked ones are refused.
 request_frame FrameRequest(std::string_view input, std::size_t max_bytes);
 
+/// Without spaces and tabs at both ends, as in the value of a header field. Line ends are kept.
+std::string_view TrimBlanks(std::string_view text);
+
 }  // namespace limpetrouter::shell
--- a/shell/http_request_parser.cc
+++ b/shell/http_request_parser.cc
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include "shell/http_framing.h"
+
 namespace limpetrouter::shell {
 namespace {
 
@@ -17,12 +19,6 @@
 
 char ToLower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 
-std::string_view Trim(std::string_view text) {
-  const auto first = text.find_first_not_of(" \t");
-  if (first == std::string_view::npos) return {};
-  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 bool IsToken(std::string_view text) {
   static constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
   return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
@@ -83,7 +79,7 @@
       Fail(request, parse_state::kMalformed, "a header field is malformed");
       return false;
     }
-    request.headers.emplace_back(line.substr(0, colon), Trim(line.substr(colon + 1)));
+    request.headers.emplace_back(line.substr(0, colon), TrimBlanks(line.substr(colon + 1)));
   }
   return true;
 }
@@ -134,7 +130,7 @@
       return;
     }
     const std::string_view line = input.substr(at, end - at);
-    const std::string_view digits = Trim(line.substr(0, line.find(';')));
+    const std::string_view digits = TrimBlanks(line.substr(0, line.find(';')));
     const std::optional<std::size_t> size = ParseNumber<std::size_t>(digits, kHexBase);
     if (!size.has_value() || HasControl(line)) {
       return Fail(request, parse_state::kMalformed, "a chunk size is not a number");
--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -1,5 +1,7 @@
 #include "shell/http_server.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <atomic>
@@ -192,6 +194,16 @@
   return converted;
 }
 
+/// How long ago the last bytes arrived at the socket. A starved process reads them late.
+std::chrono::milliseconds AgeOfInput(int socket) {
+  // The kernel counts in steps of up to this time.
+  constexpr std::uint32_t kResolutionMs = 10;
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return {};
+  return std::chrono::milliseconds(info.tcpi_last_data_recv <= kResolutionMs ? 0 : info.tcpi_last_data_recv);
+}
+
 /// Takes over the reading of requests from Pistache's handler, which answers faulty input in plain text by itself,
 /// drops pipelined requests, and lets answers overtake each other.
 class request_handler : public pistache_http::Handler {
@@ -296,6 +308,7 @@
     request.target = std::move(parsed.target);
     request.headers = std::move(parsed.headers);
     request.body = std::move(parsed.body);
+    request.waited = AgeOfInput(peer->fd());
     HandOver(handle, std::move(request));
     return true;
   }
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -24,6 +25,8 @@
   /// Of an opaque server only: path and query as they were sent, and the header fields.
   std::string target;
   http_headers headers;
+  /// How long the last bytes of the request waited at the socket before they were read.
+  std::chrono::milliseconds waited{};
 };
 
 struct http_answer {
--- a/shell/transfer_pool.cc
+++ b/shell/transfer_pool.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <cstring>
 #include <mutex>
 #include <optional>
 #include <thread>
@@ -52,6 +53,8 @@
   transfer_result result;
   CURL* handle = nullptr;
   curl_slist* header_list = nullptr;
+  /// The line of `time_left_field` within `header_list`.
+  char* time_left_line = nullptr;
   steady_clock::time_point started;
   /// How often libcurl was about to write the request.
   int writes = 0;
@@ -97,6 +100,11 @@
   return CURL_SOCKOPT_OK;
 }
 
+std::string TimeLeftLine(const transfer& t) {
+  const auto left = std::chrono::duration_cast<milliseconds>(t.request.deadline - steady_clock::now());
+  return fmt::format("{}: {}", t.request.time_left_field, std::max<std::int64_t>(left.count(), 0));
+}
+
 /// Runs when the connection stands, right before the request is written. A process that was paused while it connected
 /// must not start a call whose deadline has passed.
 int OnBeforeWrite(void* pointer, char* /*peer_ip*/, char* /*own_ip*/, int /*peer_port*/, int /*own_port*/) {
@@ -106,6 +114,11 @@
     t.deadline_passed = true;
     return CURL_PREREQFUNC_ABORT;
   }
+  // libcurl reads the header lines after this. The time only gets less, so the new line fits into the old one.
+  if (t.time_left_line != nullptr) {
+    const std::string line = TimeLeftLine(t);
+    std::memcpy(t.time_left_line, line.c_str(), std::min(line.size(), std::strlen(t.time_left_line)) + 1);
+  }
   ++t.writes;
   return CURL_PREREQFUNC_OK;
 }
@@ -354,6 +367,13 @@
       const std::string line = value.empty() ? fmt::format("{};", name) : fmt::format("{}: {}", name, value);
       t.header_list = curl_slist_append(t.header_list, line.c_str());
     }
+    if (!t.request.time_left_field.empty()) {
+      t.header_list = curl_slist_append(t.header_list, TimeLeftLine(t).c_str());
+      curl_slist* last = t.header_list;
+      while (last->next != nullptr)
+        last = last->next;
+      t.time_left_line = last->data;
+    }
     curl_easy_setopt(h, CURLOPT_HTTPHEADER, t.header_list);
     const bool sends_body = !t.request.body.empty() || t.request.method == "POST" || t.request.method == "PUT";
     if (sends_body) {
--- a/shell/transfer_pool.h
+++ b/shell/transfer_pool.h
@@ -56,6 +56,9 @@
   /// Path and query of an opaque request; `url` gives the address only.
   std::string target;
   http_headers headers;
+  /// A header field of an opaque request that states the milliseconds left until the deadline; empty for none. It is
+  /// filled in as the request is written, because a starved process may write long after it started the transfer.
+  std::string time_left_field;
   std::chrono::steady_clock::time_point deadline;
   std::size_t max_answer_bytes = 0;
   /// The request must not be written twice. libcurl writes a request again by itself when a reused connection turns out
--- a/tests/core/forwarding/requests_test.cc
+++ b/tests/core/forwarding/requests_test.cc
@@ -240,7 +240,7 @@
   forwarding_world world = PlainWorld(repetition::kAtMostOnce);
   const base::time_point start = world.now;
   world.Send(r.patience);
-  CHECK(world.TakeCalls().at(0).remaining == r.expected);
+  CHECK(world.TakeCalls().at(0).deadline - start == r.expected);
   while (world.TakeReplies().empty() && world.now - start < seconds(10))
     world.Run(milliseconds(5));
   CHECK(world.now - start >= r.expected);
--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -38,11 +38,12 @@
   call.server = core::base::backend_server_id("i-1");
   call.address = "10.0.0.1:80";
   call.request = std::make_shared<const core::forwarding::request>(*request);
-  call.remaining = std::chrono::microseconds(123'900);
   const shell::transfer_request transfer = EncodeCall(call);
   CHECK(transfer.target == "/p/x?y");
   CHECK(*shell::FindHeader(transfer.headers, "x-expect-instance") == "i-1");
-  CHECK(*shell::FindHeader(transfer.headers, "x-deadline-ms") == "123");
+  // The pool states the time that is left then, and the caller's own figure goes nowhere.
+  CHECK(transfer.time_left_field == "X-Deadline-Ms");
+  CHECK(shell::CountHeader(transfer.headers, "x-deadline-ms") == 0);
   CHECK(shell::CountHeader(transfer.headers, "host") == 1);
 }
 
--- a/tests/scenario/world_forwarding.cc
+++ b/tests/scenario/world_forwarding.cc
@@ -205,7 +205,7 @@
   trace_.forward_calls.push_back({now_, call.request->attempt, found->second.record.service.value, id,
                                   base::instance_id(p.spec.id), !found->second.up});
   // The shell gives a call up when its time is over.
-  Schedule(call.remaining, [this, held] {
+  Schedule(call.deadline - now_, [this, held] {
     if (!forward_.open.contains({held.instance, held.life, held.call.call.value})) return;
     DropForwardCalls(held.instance, held.life, held.call.call.value);
     EndForwardCall(held, Failure(error_kind::kDeadlineExceeded, executed_state::kUnknown), true);
--- a/tests/shell/http_server_test.cc
+++ b/tests/shell/http_server_test.cc
@@ -237,6 +237,43 @@
   ::close(fd);
 }
 
+// Guards against callers whose time seems to begin when a starved instance reads their request.
+TEST_CASE("the time that a request waited at the socket is known") {
+  http_server_options options;
+  options.address = FreeAddress();
+  options.opaque = true;
+  options.threads = 1;
+  std::mutex mutex;
+  std::vector<milliseconds> waited;
+  std::unique_ptr<http_server> server;
+  server = std::make_unique<http_server>(options, http_observer{[&](reply_handle handle, const http_request& request) {
+                                                                  {
+                                                                    const std::lock_guard lock(mutex);
+                                                                    waited.push_back(request.waited);
+                                                                  }
+                                                                  // The server's only thread is held up while the
+                                                                  // second request arrives.
+                                                                  if (request.path == "/first")
+                                                                    std::this_thread::sleep_for(milliseconds(400));
+                                                                  server->Answer(handle, {200, "{}", true});
+                                                                },
+                                                                [](reply_handle) {}});
+  REQUIRE(server->Start().has_value());
+  const int first = ConnectTo(options.address);
+  const int second = ConnectTo(options.address);
+  SendText(first, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds(100));
+  SendText(second, "GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(ReadUntil(second, "{}").find("200") != std::string::npos);
+  const std::lock_guard lock(mutex);
+  REQUIRE(waited.size() == 2);
+  CHECK(waited[0] < milliseconds(100));
+  CHECK(waited[1] >= milliseconds(200));
+  CHECK(waited[1] <= milliseconds(500));
+  ::close(first);
+  ::close(second);
+}
+
 // Guards against a crash or a hang on damaged requests.
 TEST_CASE("random bytes do not harm the server") {
   held_server held;
