--- a/tests/forwarding/standins.py
+++ b/tests/forwarding/standins.py
@@ -54,7 +54,8 @@
 def reset(writer):
     """Closes a connection with a reset."""
     sock = writer.get_extra_info("socket")
-    if sock is not None:
+    # The other direction of a proxied connection may have closed it already.
+    if sock is not None and sock.fileno() >= 0:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.close()
 
