--- a/tests/scenario/forward_checkers.cc
+++ b/tests/scenario/forward_checkers.cc
@@ -11,8 +11,6 @@
 namespace limpetrouter::tests::scenario {
 namespace {
 
-using limpetrouter::core::forwarding::answer;
-
 bool IsServed(const forward_try& made) { return made.answer.has_value() && made.answer->status == 200; }
 
 /// The parts of a merged answer or the one part of another, by the server that signed it; nothing for a forged one.
--- a/tests/scenario/world_forwarding.cc
+++ b/tests/scenario/world_forwarding.cc
@@ -228,11 +228,9 @@
   held.run = forward_.next_run++;
   const std::string& content = held.call.request->body;
   std::uint64_t request = 0;
-  for (auto made = trace_.forward_tries.rbegin(); made != trace_.forward_tries.rend(); ++made) {
-    if (made->attempt != held.call.request->attempt) continue;
-    request = made->request;
-    break;
-  }
+  const auto made = std::find_if(trace_.forward_tries.rbegin(), trace_.forward_tries.rend(),
+                                 [&held](const auto& each) { return each.attempt == held.call.request->attempt; });
+  if (made != trace_.forward_tries.rend()) request = made->request;
   const std::string id = server.record.id.value;
   trace_.forward_runs.push_back({now_, request, held.call.request->attempt, server.record.service.value, id});
   server.running.push_back(held);
