--- /dev/null
+++ b/shell/transfer.cc
@@ -0,0 +1,216 @@
+#include "shell/transfer.h"
+
+#include <algorithm>
+#include <cstring>
+#include <string>
+#include <string_view>
+
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace limpetrouter::shell {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// A backend server that does not accept a connection within this time is treated as unreachable, so that a read can
+/// still be tried elsewhere before its deadline.
+constexpr milliseconds kConnectTimeout{500};
+/// Idle connections are not reused after this time, in seconds, and are closed.
+constexpr long kMaxIdleSeconds = 60;
+/// A probed connection is given up after about three seconds without a sign of the peer.
+constexpr int kProbeSeconds = 1;
+constexpr int kProbeCount = 2;
+constexpr unsigned kUserTimeoutMs = 3'000;
+
+std::size_t OnBody(char* data, std::size_t size, std::size_t count, void* pointer) {
+  auto& t = *static_cast<transfer*>(pointer);
+  const std::size_t bytes = size * count;
+  if (t.result.body.size() + bytes > t.request.max_answer_bytes) {
+    t.too_large = true;
+    return 0;
+  }
+  t.result.body.append(data, bytes);
+  return bytes;
+}
+
+/// Collects the header fields of the last header: an interim answer comes before it.
+std::size_t OnHeader(char* data, std::size_t size, std::size_t count, void* pointer) {
+  auto& t = *static_cast<transfer*>(pointer);
+  const std::size_t bytes = size * count;
+  std::string_view line(data, bytes);
+  while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
+    line.remove_suffix(1);
+  if (line.starts_with("HTTP/")) t.result.headers.clear();
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos || line.starts_with("HTTP/")) return bytes;
+  std::string_view value = line.substr(colon + 1);
+  const auto first = value.find_first_not_of(" \t");
+  value = first == std::string_view::npos ? std::string_view{} : value.substr(first);
+  t.result.headers.emplace_back(line.substr(0, colon), value);
+  return bytes;
+}
+
+int OnSocket(void* /*pointer*/, curl_socket_t socket, curlsocktype /*purpose*/) {
+  const int on = 1;
+  setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeSeconds, sizeof kProbeSeconds);
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeSeconds, sizeof kProbeSeconds);
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kProbeCount, sizeof kProbeCount);
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs, sizeof kUserTimeoutMs);
+  return CURL_SOCKOPT_OK;
+}
+
+std::string TimeLeftLine(const transfer& t) {
+  const auto left = std::chrono::duration_cast<milliseconds>(t.request.deadline - steady_clock::now());
+  return fmt::format("{}: {}", t.request.time_left_field, std::max<std::int64_t>(left.count(), 0));
+}
+
+/// Runs when the connection stands, right before the request is written. A process that was paused while it connected
+/// must not start a call whose deadline has passed.
+int OnBeforeWrite(void* pointer, char* /*peer_ip*/, char* /*own_ip*/, int /*peer_port*/, int /*own_port*/) {
+  auto& t = *static_cast<transfer*>(pointer);
+  if (t.writes > 0 && t.request.write_once) return CURL_PREREQFUNC_ABORT;
+  if (steady_clock::now() >= t.request.deadline) {
+    t.deadline_passed = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  // libcurl reads the header lines after this. The time only gets less, so the new line fits into the old one.
+  if (t.time_left_line != nullptr) {
+    const std::string line = TimeLeftLine(t);
+    std::memcpy(t.time_left_line, line.c_str(), std::min(line.size(), std::strlen(t.time_left_line)) + 1);
+  }
+  ++t.writes;
+  return CURL_PREREQFUNC_OK;
+}
+
+/// libcurl takes a connection that closes within the header for the end of an answer without a body.
+bool EndedInHeader(const transfer& t) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  if (!t.result.body.empty() || t.result.status == kNoContent || t.result.status == kNotModified) return false;
+  if (t.request.method == "HEAD") return false;
+  curl_off_t announced = -1;
+  curl_easy_getinfo(t.handle, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &announced);
+  return announced < 0;
+}
+
+void SetOpaqueOptions(transfer& t) {
+  CURL* h = t.handle;
+  curl_easy_setopt(h, CURLOPT_REQUEST_TARGET, t.request.target.c_str());
+  curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(h, CURLOPT_HEADERDATA, &t);
+  // Fields that libcurl would add by itself are taken out unless the request has them.
+  for (const char* name : {"Accept", "Content-Type"}) {
+    if (FindHeader(t.request.headers, name) == nullptr)
+      t.header_list = curl_slist_append(t.header_list, (std::string(name) + ":").c_str());
+  }
+  t.header_list = curl_slist_append(t.header_list, "Expect:");
+  for (const auto& [name, value] : t.request.headers) {
+    // libcurl sends a field without a value if it ends with a semicolon.
+    const std::string line = value.empty() ? fmt::format("{};", name) : fmt::format("{}: {}", name, value);
+    t.header_list = curl_slist_append(t.header_list, line.c_str());
+  }
+  if (!t.request.time_left_field.empty()) {
+    t.header_list = curl_slist_append(t.header_list, TimeLeftLine(t).c_str());
+    curl_slist* last = t.header_list;
+    while (last->next != nullptr)
+      last = last->next;
+    t.time_left_line = last->data;
+  }
+  curl_easy_setopt(h, CURLOPT_HTTPHEADER, t.header_list);
+  const bool sends_body = !t.request.body.empty() || t.request.method == "POST" || t.request.method == "PUT";
+  if (sends_body) {
+    curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(t.request.body.size()));
+    curl_easy_setopt(h, CURLOPT_POSTFIELDS, t.request.body.data());
+  } else if (t.request.method == "HEAD") {
+    curl_easy_setopt(h, CURLOPT_NOBODY, 1L);
+  }
+  curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, t.request.method.c_str());
+}
+
+}  // namespace
+
+std::string_view ToString(transfer_outcome outcome) {
+  switch (outcome) {
+    case transfer_outcome::kAnswered:
+      return "answered";
+    case transfer_outcome::kConnectFailed:
+      return "no connection";
+    case transfer_outcome::kLost:
+      return "the connection broke";
+    case transfer_outcome::kTruncated:
+      return "the answer was cut short";
+    case transfer_outcome::kMalformed:
+      return "the answer is not HTTP or too large";
+    case transfer_outcome::kDeadline:
+      return "no answer in time";
+    case transfer_outcome::kCancelled:
+      break;
+  }
+  return "cancelled";
+}
+
+void SetOptions(transfer& t, milliseconds left, const curl_slist* post_headers) {
+  CURL* h = t.handle;
+  curl_easy_setopt(h, CURLOPT_URL, t.request.url.c_str());
+  curl_easy_setopt(h, CURLOPT_PRIVATE, &t);
+  curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
+  // Backend servers are addressed by IP number; a proxy from the environment must not come between.
+  curl_easy_setopt(h, CURLOPT_PROXY, "");
+  curl_easy_setopt(h, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(h, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+  curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, static_cast<long>(left.count()));
+  const milliseconds connect =
+      t.request.connect_timeout.count() > 0 ? t.request.connect_timeout : milliseconds(kConnectTimeout);
+  curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::min(left, connect).count()));
+  const long max_idle = static_cast<long>(t.request.max_idle.count());
+  curl_easy_setopt(h, CURLOPT_MAXAGE_CONN, max_idle > 0 ? max_idle : kMaxIdleSeconds);
+  if (t.request.keep_alive_probes) curl_easy_setopt(h, CURLOPT_SOCKOPTFUNCTION, &OnSocket);
+  curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(h, CURLOPT_WRITEDATA, &t);
+  curl_easy_setopt(h, CURLOPT_PREREQFUNCTION, &OnBeforeWrite);
+  curl_easy_setopt(h, CURLOPT_PREREQDATA, &t);
+  if (!t.request.method.empty()) SetOpaqueOptions(t);
+  if (t.request.post) {
+    curl_easy_setopt(h, CURLOPT_HTTPHEADER, post_headers);
+    curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(t.request.body.size()));
+    curl_easy_setopt(h, CURLOPT_POSTFIELDS, t.request.body.data());
+  }
+  if (t.request.own_connection) {
+    curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(h, CURLOPT_FORBID_REUSE, 1L);
+  }
+}
+
+transfer_outcome OutcomeOf(const transfer& t, CURLcode code) {
+  switch (code) {
+    case CURLE_OK:
+      return EndedInHeader(t) ? transfer_outcome::kLost : transfer_outcome::kAnswered;
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+    case CURLE_URL_MALFORMAT:
+      // After a write this is the failure of a second connect, and the request may have run on the first connection.
+      return t.writes == 0 ? transfer_outcome::kConnectFailed : transfer_outcome::kLost;
+    case CURLE_OPERATION_TIMEDOUT:
+      // libcurl uses the same code for its connect timeout and for the whole transfer.
+      if (t.writes == 0 && steady_clock::now() < t.request.deadline) return transfer_outcome::kConnectFailed;
+      return transfer_outcome::kDeadline;
+    case CURLE_ABORTED_BY_CALLBACK:
+      return t.deadline_passed ? transfer_outcome::kDeadline : transfer_outcome::kLost;
+    case CURLE_PARTIAL_FILE:
+      return transfer_outcome::kTruncated;
+    case CURLE_WRITE_ERROR:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+    case CURLE_WEIRD_SERVER_REPLY:
+    case CURLE_BAD_CONTENT_ENCODING:
+      return transfer_outcome::kMalformed;
+    default:
+      return t.result.body.empty() ? transfer_outcome::kLost : transfer_outcome::kTruncated;
+  }
+}
+
+}  // namespace limpetrouter::shell
--- /dev/null
+++ b/shell/transfer.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <chrono>
+
+#include <curl/curl.h>
+
+#include "shell/transfer_pool.h"
+
+namespace limpetrouter::shell {
+
+/// One running transfer. libcurl keeps a pointer to it.
+struct transfer {
+  transfer_request request;
+  transfer_result result;
+  CURL* handle = nullptr;
+  curl_slist* header_list = nullptr;
+  /// The line of `time_left_field` within `header_list`.
+  char* time_left_line = nullptr;
+  std::chrono::steady_clock::time_point started;
+  /// How often libcurl was about to write the request.
+  int writes = 0;
+  bool too_large = false;
+  bool deadline_passed = false;
+};
+
+/// Sets what libcurl needs for the transfer on its handle. `left` is the time until its deadline, and `post_headers`
+/// are the fields of a JSON request.
+void SetOptions(transfer& t, std::chrono::milliseconds left, const curl_slist* post_headers);
+
+/// What libcurl's result means for a transfer that has ended.
+transfer_outcome OutcomeOf(const transfer& t, CURLcode code);
+
+}  // namespace limpetrouter::shell
