--- a/core/forwarding/directory.cc
+++ b/core/forwarding/directory.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/instance/instance.h"
 #include "core/membership/fact_table.h"
 
 namespace limpetrouter::core::forwarding {
@@ -27,7 +28,6 @@
 constexpr base::duration kEntriesMemory = seconds(5);
 /// The others forget after this time that an instance was busy.
 constexpr base::duration kBusyTime = seconds(3);
-constexpr base::duration kTickInterval = milliseconds(5);
 
 struct candidate {
   std::string address;
@@ -105,7 +105,7 @@
 }
 
 void RunLoadReport(forwarding_tables& tables, instance::context& ctx) {
-  const base::duration lag = ctx.now - tables.last_tick - kTickInterval;
+  const base::duration lag = ctx.now - tables.last_tick - instance::kTickInterval;
   const bool first = tables.last_tick == base::time_point{};
   tables.last_tick = ctx.now;
   if (first || lag > seconds(1)) return;
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -75,8 +75,7 @@
   if (result.failure == error_kind::kConnectFailed) {
     NoteServerDown(target, ctx);
   } else if (result.failure == error_kind::kConnectionLost) {
-    const double other_work = EstimateWork(target, ctx.now) - static_cast<double>(target.running.size());
-    NoteLostRun(target, {ended.fingerprint, ended.started, ctx.now, other_work});
+    NoteLostRun(target, {ended.fingerprint, ended.started, ctx.now, EstimateOtherWork(target, ctx.now)});
   }
   if (result.keep_alive.has_value()) target.max_idle = *result.keep_alive;
   if (result.failure == error_kind::kBackendReplaced && !target.misdirected) {
--- a/core/forwarding/server_choice.cc
+++ b/core/forwarding/server_choice.cc
@@ -101,9 +101,12 @@
 
 }  // namespace
 
+double EstimateOtherWork(const server& server, base::time_point now) {
+  return server.other_work * Decay(server.load_at, now, kLoadLifetimeUs);
+}
+
 double EstimateWork(const server& server, base::time_point now) {
-  const double others = server.other_work * Decay(server.load_at, now, kLoadLifetimeUs);
-  return others + static_cast<double>(server.running.size());
+  return EstimateOtherWork(server, now) + static_cast<double>(server.running.size());
 }
 
 choice ChooseServer(const server_table& table, const base::service_id& service, const choice_rules& rules,
--- a/core/forwarding/server_choice.h
+++ b/core/forwarding/server_choice.h
@@ -42,6 +42,8 @@
 choice ChooseServer(const server_table& table, const base::service_id& service, const choice_rules& rules,
                     base::time_point now, base::random_source& random);
 
+/// Work of other instances at the server, in calls, from its last load report.
+double EstimateOtherWork(const server& server, base::time_point now);
 /// Work at the server, of this instance and of others, in calls.
 double EstimateWork(const server& server, base::time_point now);
 
--- a/core/instance/instance.cc
+++ b/core/instance/instance.cc
@@ -1,7 +1,6 @@
 #include "core/instance/instance.h"
 
 #include <algorithm>
-
 #include <type_traits>
 #include <utility>
 #include <variant>
--- a/core/membership/fact_table.cc
+++ b/core/membership/fact_table.cc
@@ -1,6 +1,7 @@
 #include "core/membership/fact_table.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/base/digest.h"
 
@@ -73,6 +74,14 @@
   return true;
 }
 
+/// Records a fact that has no content but its subject, unless it is known.
+bool PutOnce(fact_table& table, fact_kind kind, std::string subject, base::duration lifetime, base::time_point now) {
+  peer::fact fact;
+  fact.kind = kind;
+  fact.subject = std::move(subject);
+  return MergeTimed(table, fact, lifetime, now);
+}
+
 bool MergeSuspicion(fact_table& table, const peer::fact& fact, base::duration lifetime, base::time_point now) {
   const known_fact* const held = FindLive(table, fact.kind, fact.subject, now);
   if (held == nullptr) {
@@ -82,10 +91,7 @@
   const bool certain = fact.revision != 0 || held->fact.revision != 0;
   bool news = false;
   if (held->fact.boot != fact.boot && certain) {
-    peer::fact withheld;
-    withheld.kind = fact_kind::kRequestWithheld;
-    withheld.subject = fact.subject;
-    news = MergeTimed(table, withheld, lifetime, now);
+    news = PutOnce(table, fact_kind::kRequestWithheld, fact.subject, lifetime, now);
   }
   // Of several the certain one is kept, then the one with the higher hash, whichever came first.
   if (std::pair(fact.revision, fact.boot) <= std::pair(held->fact.revision, held->fact.boot)) return news;
@@ -139,10 +145,7 @@
 }
 
 void RecordWithheld(fact_table& table, base::fingerprint_id fingerprint, base::duration time, base::time_point now) {
-  peer::fact fact;
-  fact.kind = fact_kind::kRequestWithheld;
-  fact.subject = base::ToHex(fingerprint.value);
-  if (FindLive(table, fact.kind, fact.subject, now) == nullptr) Put(table, fact, time, now);
+  PutOnce(table, fact_kind::kRequestWithheld, base::ToHex(fingerprint.value), time, now);
 }
 
 bool IsWithheld(const fact_table& table, base::fingerprint_id fingerprint, base::time_point now) {
@@ -151,10 +154,7 @@
 }
 
 void RecordBusy(fact_table& table, const base::instance_id& id, base::duration time, base::time_point now) {
-  peer::fact fact;
-  fact.kind = fact_kind::kInstanceBusy;
-  fact.subject = id.value;
-  if (FindLive(table, fact.kind, fact.subject, now) == nullptr) Put(table, fact, time, now);
+  PutOnce(table, fact_kind::kInstanceBusy, id.value, time, now);
 }
 
 bool IsBusy(const fact_table& table, const base::instance_id& id, base::time_point now) {
--- a/tests/scenario/forward_checkers.cc
+++ b/tests/scenario/forward_checkers.cc
@@ -122,7 +122,8 @@
     tries[made.attempt] = &made;
   std::map<std::uint64_t, int> runs;
   for (const forward_run& run : world.record().forward_runs) {
-    if (world.forwarding().routes.at(tries.at(run.attempt)->route).once) ++runs[run.request];
+    const forward_try& made = *tries.at(run.attempt);
+    if (world.forwarding().routes.at(made.route).once) ++runs[made.request];
   }
   for (const auto& [request, count] : runs) {
     ++report.checked;
--- a/tests/scenario/trace.h
+++ b/tests/scenario/trace.h
@@ -131,7 +131,6 @@
 /// A forwarded request that a backend server began to run.
 struct forward_run {
   base::time_point at;
-  std::uint64_t request = 0;
   std::string attempt;
   std::string service;
   std::string server;
--- a/tests/scenario/world.cc
+++ b/tests/scenario/world.cc
@@ -20,19 +20,9 @@
 
 /// A stream message to a process that does not listen fails after this long.
 constexpr base::duration kRefuseDelay = std::chrono::microseconds(400);
-/// A watch of the configuration service looks for a newer revision this often.
+/// A watch of the platform looks for a newer revision this often.
 constexpr base::duration kWatchStep = std::chrono::milliseconds(20);
 
-bool Matches(const std::string& pattern, const std::string& text) {
-  if (pattern == "*") return true;
-  if (!pattern.empty() && pattern.back() == '*') return text.rfind(pattern.substr(0, pattern.size() - 1), 0) == 0;
-  if (!pattern.empty() && pattern.front() == '*') {
-    const std::string end = pattern.substr(1);
-    return text.size() >= end.size() && text.compare(text.size() - end.size(), end.size(), end) == 0;
-  }
-  return pattern == text;
-}
-
 bool IsControl(const peer::message& message) {
   return std::holds_alternative<peer::probe>(message.body) || std::holds_alternative<peer::probe_ack>(message.body) ||
          std::holds_alternative<peer::indirect_probe>(message.body) ||
@@ -44,6 +34,14 @@
 
 }  // namespace
 
+bool Matches(const std::string& pattern, const std::string& text) {
+  const std::size_t star = pattern.find('*');
+  if (star == std::string::npos) return pattern == text;
+  const std::string start = pattern.substr(0, star);
+  const std::string end = pattern.substr(star + 1);
+  return text.size() >= start.size() + end.size() && text.starts_with(start) && text.ends_with(end);
+}
+
 world::world(std::uint64_t seed, const nlohmann::json& document, std::vector<instance_spec> instances,
              network_spec network)
     : random_{seed}, network_(network) {
@@ -87,6 +85,12 @@
   now_ = end;
 }
 
+void world::Poll(base::duration delay, std::function<bool()> look) {
+  Schedule(delay, [this, look = std::move(look)] {
+    if (!look()) Poll(kWatchStep, look);
+  });
+}
+
 double world::NextNormal() {
   const double u = std::max(base::NextUnit(random_), 1e-12);
   const double v = base::NextUnit(random_);
@@ -383,13 +387,11 @@
   const std::string id = p.spec.id;
   const std::uint64_t life = p.life;
   const base::time_point give_up = now_ + read.wait;
-  // A watch looks again in small steps until there is a newer revision or its time is over.
-  auto look = std::make_shared<std::function<void()>>();
-  *look = [this, id, life, read, give_up, weak = std::weak_ptr<std::function<void()>>(look)] {
-    const auto self = weak.lock();
+  // A watch looks again until there is a newer revision or its time is over.
+  Poll(kServiceTime, [this, id, life, read, give_up] {
     if (platform_down_ || platform_cuts_.contains(id)) {
       Deliver(id, life, io::configuration_read_failed{{base::error_kind::kPlatformUnavailable, "service is down"}});
-      return;
+      return true;
     }
     const std::uint64_t revision = VisibleRevision();
     const bool watch = read.wait > base::duration{0};
@@ -399,15 +401,12 @@
       Deliver(
           id, life,
           io::configuration_read{{base::revision_id(revision), text("inventory"), text("rules"), text("shard_maps")}});
-      return;
+      return true;
     }
-    if (now_ >= give_up) {
-      Deliver(id, life, io::configuration_read_failed{{base::error_kind::kConfigurationStale, "no newer revision"}});
-      return;
-    }
-    Schedule(kWatchStep, [self] { (*self)(); });
-  };
-  Schedule(kServiceTime, [look] { (*look)(); });
+    if (now_ < give_up) return false;
+    Deliver(id, life, io::configuration_read_failed{{base::error_kind::kConfigurationStale, "no newer revision"}});
+    return true;
+  });
 }
 
 void world::ReadInstanceList(process& p) {
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -58,6 +58,9 @@
   std::string data_centre;
 };
 
+/// True if the text is the pattern, in which the first "*" stands for anything.
+bool Matches(const std::string& pattern, const std::string& text);
+
 /// A few instances of the real decision core over fakes of everything outside it, on a virtual clock. Deterministic for
 /// a seed.
 class world {
@@ -144,6 +147,8 @@
   };
 
   void Schedule(base::duration delay, std::function<void()> action);
+  /// Calls `look` after `delay`, and again in small steps until it returns true.
+  void Poll(base::duration delay, std::function<bool()> look);
   process& ProcessOf(const std::string& instance);
   life_record& LastLife(const std::string& instance);
   void Tick(const std::string& instance, std::uint64_t life);
--- a/tests/scenario/world_forwarding.cc
+++ b/tests/scenario/world_forwarding.cc
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr base::duration kStoreTime = std::chrono::milliseconds(2);
-constexpr base::duration kWatchStep = std::chrono::milliseconds(20);
 /// An entry outlives its server by the lease.
 constexpr base::duration kLease = std::chrono::seconds(2);
 constexpr base::duration kRestartTime = std::chrono::seconds(3);
@@ -98,13 +97,8 @@
 
 std::vector<std::string> world::ForwardServersMatching(const std::string& pattern) const {
   std::vector<std::string> found;
-  const std::string start = pattern.substr(0, pattern.find('*'));
-  const std::string end = pattern.find('*') == std::string::npos ? "" : pattern.substr(pattern.find('*') + 1);
   for (const auto& [id, server] : forward_.servers) {
-    const bool matches = pattern.find('*') == std::string::npos
-                             ? id == pattern
-                             : id.size() >= start.size() + end.size() && id.starts_with(start) && id.ends_with(end);
-    if (matches) found.push_back(id);
+    if (Matches(pattern, id)) found.push_back(id);
   }
   if (found.empty()) throw std::invalid_argument(fmt::format("no backend server matches '{}'", pattern));
   return found;
@@ -149,23 +143,20 @@
 void world::WatchPublished(process& p, const io::watch_published& watch) {
   const std::string id = p.spec.id;
   const base::time_point give_up = now_ + watch.wait;
-  auto look = std::make_shared<std::function<void()>>();
-  *look = [this, id, life = p.life, watch, give_up, weak = std::weak_ptr<std::function<void()>>(look)] {
-    const auto self = weak.lock();
+  Poll(kStoreTime, [this, id, life = p.life, watch, give_up] {
     if (platform_down_ || platform_cuts_.contains(id)) {
-      return Deliver(id, life, io::published_read_failed{{watch.read, false, "store is down"}});
-    }
-    if (forward_.revision <= watch.after && now_ < give_up) {
-      return Schedule(kWatchStep, [self] { (*self)(); });
+      Deliver(id, life, io::published_read_failed{{watch.read, false, "store is down"}});
+      return true;
     }
+    if (forward_.revision <= watch.after && now_ < give_up) return false;
     // Deletions are told as a whole list, which is what a watch that lost its history gets.
     fwd::published_changes changes;
     changes.revision = forward_.revision;
     if (forward_.revision > watch.after) changes = PublishedAll();
     changes.read = watch.read;
     Deliver(id, life, io::published_read{std::move(changes)});
-  };
-  Schedule(kStoreTime, [look] { (*look)(); });
+    return true;
+  });
 }
 
 // --- Backend servers ----------------------------------------------------------------------------------------------
@@ -227,12 +218,8 @@
 void world::RunForwardCall(forward_server& server, forward_server::held_call held) {
   held.run = forward_.next_run++;
   const std::string& content = held.call.request->body;
-  std::uint64_t request = 0;
-  const auto made = std::find_if(trace_.forward_tries.rbegin(), trace_.forward_tries.rend(),
-                                 [&held](const auto& each) { return each.attempt == held.call.request->attempt; });
-  if (made != trace_.forward_tries.rend()) request = made->request;
   const std::string id = server.record.id.value;
-  trace_.forward_runs.push_back({now_, request, held.call.request->attempt, server.record.service.value, id});
+  trace_.forward_runs.push_back({now_, held.call.request->attempt, server.record.service.value, id});
   server.running.push_back(held);
   if (content == kCrashingContent) {
     ++trace_.forward_crashes;
