Bound the header of an answer and all unfinished answers together

Cause: a server in trouble may send a header, interim answers or a body without end. The header fields of an opaque request were collected until the deadline, interim answers were followed until then, and 200 answers of up to 16 MB each exceed the memory of an instance. On the callers' side, chunk extensions and trailer fields were bounded line by line only, so short lines without end were buffered. Ruled out: a bound on each answer alone (200 answers below it still add up); ending the largest answer after each batch of events (libcurl reads many connections in one call: 118 MB were held with a limit of 4 MB). Change: a limit for the header of an answer with its interim answers and trailers, and one for all unfinished answers of a transfer pool, both checked settings; extensions and trailers count towards the limit of a caller's header. A header line beyond libcurl's own limit is malformed instead of a lost connection. After: all rows end as malformed at once, and 200 endless answers hold less than twice the limit. Conclusion: such servers are ejected by the usual rule, as for any malformed answer.

--- a/shell/backend_client.cc
+++ b/shell/backend_client.cc
@@ -108,11 +108,12 @@
   }
 };
 
-backend_client::backend_client(std::function<void(core::io::event)> post, std::uint32_t threads)
+backend_client::backend_client(std::function<void(core::io::event)> post, std::uint32_t threads,
+                               const answer_limits& limits)
     : impl_(std::make_unique<impl>()) {
   impl_->post = std::move(post);
   for (std::uint32_t i = 0; i < std::max<std::uint32_t>(1, threads); ++i)
-    impl_->pools.push_back(std::make_unique<transfer_pool>());
+    impl_->pools.push_back(std::make_unique<transfer_pool>(limits));
 }
 
 backend_client::~backend_client() { Stop(); }
--- a/shell/backend_client.h
+++ b/shell/backend_client.h
@@ -6,6 +6,7 @@
 
 #include "core/io/command.h"
 #include "core/io/event.h"
+#include "shell/answer_limits.h"
 
 namespace limpetrouter::shell {
 
@@ -13,7 +14,8 @@
 class backend_client {
  public:
   /// `post` receives events on the client's threads. All calls to a backend server run on one of `threads` threads.
-  explicit backend_client(std::function<void(core::io::event)> post, std::uint32_t threads = 1);
+  explicit backend_client(std::function<void(core::io::event)> post, std::uint32_t threads = 1,
+                          const answer_limits& limits = {});
   ~backend_client();
   backend_client(const backend_client&) = delete;
   backend_client& operator=(const backend_client&) = delete;
--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -125,7 +125,7 @@
                instance.forwarding.enabled = true;
                instance.forwarding.bounds = s.forwarding->bounds;
              }),
-        backend([this](core::io::event event) { PostBackendEvent(std::move(event)); }, s.backend_threads),
+        backend([this](core::io::event event) { PostBackendEvent(std::move(event)); }, s.backend_threads, s.answers),
         platform(
             s, [this](core::io::event event) { core.Post(std::move(event)); },
             [this](std::size_t bytes) { metrics.PlatformBytesReceived(bytes); }),
--- a/shell/forwarding_gateway.cc
+++ b/shell/forwarding_gateway.cc
@@ -51,6 +51,7 @@
        metrics& metrics)
       : post(std::move(post_event)),
         request_metrics(metrics),
+        pool(settings.answers),
         adapter(make_adapter(settings,
                              {&pool, post, [&metrics](std::size_t bytes) { metrics.PlatformBytesReceived(bytes); }})),
         entry(OptionsFor(settings, settings.forwarding->listen_entry),
--- a/shell/http_request_parser.cc
+++ b/shell/http_request_parser.cc
@@ -16,6 +16,8 @@
 constexpr int kHexBase = 16;
 /// Longest accepted chunk size line, extensions included. Longer extensions would only cost memory.
 constexpr std::size_t kMaxChunkLine = 1024;
+/// Longest chunk size line without extensions and leading zeros.
+constexpr std::size_t kPlainChunkLine = 8;
 
 char ToLower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 
@@ -129,6 +131,8 @@
 /// Decodes a chunked body that begins at `request.size`. Leaves the state at kIncomplete if the body is incomplete.
 void ParseChunks(std::string_view input, const request_limits& limits, parsed_request& request) {
   std::size_t position = request.size;
+  // Bytes of extensions and leading zeros; they count towards the limit of the header, as they also describe the body.
+  std::size_t extra_bytes = 0;
   while (true) {
     const auto end = input.find(kLineEnd, position);
     if (end == std::string_view::npos) {
@@ -142,6 +146,11 @@
     if (!size.has_value() || HasControl(line)) {
       return Fail(request, parse_state::kMalformed, "a chunk size is not a hexadecimal number");
     }
+    extra_bytes += line.size() - std::min(line.size(), kPlainChunkLine);
+    if (extra_bytes > limits.max_header_bytes) {
+      return Fail(request, parse_state::kHeaderTooLarge,
+                  fmt::format("the chunk extensions exceed {} bytes", limits.max_header_bytes));
+    }
     position = end + kLineEnd.size();
     if (*size == 0) break;
     if (*size > limits.max_body_bytes || request.body.size() + *size > limits.max_body_bytes) {
@@ -156,14 +165,14 @@
     position += *size + kLineEnd.size();
   }
   // An empty line ends the trailers.
+  const std::size_t trailers = position;
   while (true) {
     const auto end = input.find(kLineEnd, position);
-    if (end == std::string_view::npos) {
-      if (input.size() - position > limits.max_header_bytes) {
-        Fail(request, parse_state::kHeaderTooLarge, "a trailer field exceeds the size limit of the header");
-      }
-      return;
+    if (std::min(end, input.size()) - trailers > limits.max_header_bytes) {
+      return Fail(request, parse_state::kHeaderTooLarge,
+                  fmt::format("the trailer fields exceed {} bytes", limits.max_header_bytes));
     }
+    if (end == std::string_view::npos) return;
     const bool is_empty = end == position;
     position = end + kLineEnd.size();
     if (is_empty) break;
--- a/shell/platform_client.cc
+++ b/shell/platform_client.cc
@@ -58,6 +58,8 @@
   std::function<void(std::size_t)> count_bytes;
   transfer_pool pool;
 
+  explicit impl(const answer_limits& limits) : pool(limits) {}
+
   void Get(const std::string& url, core::base::duration read_timeout, std::function<void(transfer_result&&)> done) {
     transfer_request request;
     request.id = pool.NewId();
@@ -71,7 +73,7 @@
 
 platform_client::platform_client(const settings& settings, std::function<void(core::io::event)> post,
                                  std::function<void(std::size_t)> count_bytes)
-    : impl_(std::make_unique<impl>()) {
+    : impl_(std::make_unique<impl>(settings.answers)) {
   impl_->configuration_url = settings.configuration_url;
   impl_->instance_list_url = settings.instance_list_url;
   impl_->timeout = settings.platform_timeout;
--- a/shell/settings.cc
+++ b/shell/settings.cc
@@ -37,8 +37,8 @@
        {"entry", "readiness", "directory", "store", "retry_ratio", "retry_window_s", "retry_allowance",
         "max_address_validity_s", "shutdown_grace_s"}},
       {"limits",
-       {"max_request_bytes", "max_peer_queue_bytes", "max_peer_connections", "max_pending_requests",
-        "backend_threads"}},
+       {"max_request_bytes", "max_peer_queue_bytes", "max_peer_connections", "max_pending_requests", "backend_threads",
+        "max_answer_header_bytes", "max_buffered_answer_bytes"}},
   };
   return keys;
 }
@@ -289,6 +289,10 @@
   ReadNumber<std::uint32_t>(check, "limits", "max_peer_connections", 1, 100'000, out.max_peer_connections);
   ReadNumber<std::uint32_t>(check, "limits", "backend_threads", 1, 64, out.backend_threads);
   ReadNumber<std::uint32_t>(check, "limits", "max_pending_requests", 1, 1'000'000, out.max_pending_requests);
+  ReadNumber<std::size_t>(check, "limits", "max_answer_header_bytes", 1024, 1024 * 1024, out.answers.max_header_bytes);
+  // The platform's list of backend servers may take several MB.
+  ReadNumber<std::size_t>(check, "limits", "max_buffered_answer_bytes", 16 * 1024 * 1024, std::size_t{1} << 30U,
+                          out.answers.max_buffered_bytes);
 }
 
 /// Reports advertised wildcard addresses: an instance can listen on one, but nobody can connect to it.
--- a/shell/settings.h
+++ b/shell/settings.h
@@ -11,6 +11,7 @@
 
 #include "core/base/time.h"
 #include "core/forwarding/request_table.h"
+#include "shell/answer_limits.h"
 
 namespace limpetrouter::shell {
 
@@ -81,6 +82,8 @@
   std::uint32_t backend_threads = 2;
   /// Limit for HTTP requests that wait for their answer.
   std::uint32_t max_pending_requests = 50'000;
+  /// Limits of the answers that one thread receives from backend servers or the platform.
+  answer_limits answers;
 };
 
 /// One fault of a settings file.
--- a/shell/transfer.cc
+++ b/shell/transfer.cc
@@ -27,10 +27,20 @@
 constexpr int kKeepAliveProbes = 2;
 constexpr unsigned kUserTimeoutMs = 3'000;
 
+/// Adds received bytes of the transfer. Returns false if the limit of all answers does not allow them.
+bool AddBuffered(transfer& t, std::size_t bytes) {
+  answer_buffers& buffers = *t.buffers;
+  const std::size_t limit = buffers.limits.max_buffered_bytes;
+  if (buffers.bytes + bytes > limit && BufferedBytes(t) + bytes > limit / buffers.transfers) return false;
+  buffers.bytes += bytes;
+  if (buffers.bytes > buffers.max_bytes) buffers.max_bytes = buffers.bytes;
+  return true;
+}
+
 std::size_t OnBody(char* data, std::size_t size, std::size_t count, void* pointer) {
   auto& t = *static_cast<transfer*>(pointer);
   const std::size_t bytes = size * count;
-  if (t.result.body.size() + bytes > t.request.max_answer_bytes) {
+  if (t.result.body.size() + bytes > t.request.max_answer_bytes || !AddBuffered(t, bytes)) {
     t.answer_too_large = true;
     return 0;
   }
@@ -38,10 +48,17 @@
   return bytes;
 }
 
-/// Collects the header fields of the final answer. Each status line discards the fields of an interim answer before it.
+/// Collects the header fields of an opaque request's final answer. Each status line discards the fields of an interim
+/// answer before it, but these still count towards the limit, because interim answers may come without end.
 std::size_t OnHeader(char* data, std::size_t size, std::size_t count, void* pointer) {
   auto& t = *static_cast<transfer*>(pointer);
   const std::size_t bytes = size * count;
+  if (t.header_bytes + bytes > t.buffers->limits.max_header_bytes || !AddBuffered(t, bytes)) {
+    t.answer_too_large = true;
+    return 0;
+  }
+  t.header_bytes += bytes;
+  if (t.request.method.empty()) return bytes;
   std::string_view line(data, bytes);
   while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
     line.remove_suffix(1);
@@ -103,8 +120,6 @@
 void SetOpaqueOptions(transfer& t) {
   CURL* handle = t.handle;
   curl_easy_setopt(handle, CURLOPT_REQUEST_TARGET, t.request.target.c_str());
-  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &OnHeader);
-  curl_easy_setopt(handle, CURLOPT_HEADERDATA, &t);
   // An empty field suppresses the one that libcurl would add by itself, unless the request has that field.
   for (const char* name : {"Accept", "Content-Type"}) {
     if (FindHeader(t.request.headers, name) == nullptr)
@@ -156,6 +171,8 @@
   return "cancelled";
 }
 
+std::size_t BufferedBytes(const transfer& t) { return t.header_bytes + t.result.body.size(); }
+
 void SetOptions(transfer& t, milliseconds time_left, const curl_slist* post_headers) {
   CURL* handle = t.handle;
   curl_easy_setopt(handle, CURLOPT_URL, t.request.url.c_str());
@@ -174,6 +191,8 @@
   if (t.request.keep_alive_probes) curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &t);
+  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(handle, CURLOPT_HEADERDATA, &t);
   curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &OnBeforeWrite);
   curl_easy_setopt(handle, CURLOPT_PREREQDATA, &t);
   if (!t.request.method.empty()) SetOpaqueOptions(t);
@@ -206,6 +225,8 @@
       return t.deadline_passed ? transfer_outcome::kDeadlineExceeded : transfer_outcome::kConnectionLost;
     case CURLE_PARTIAL_FILE:
       return transfer_outcome::kTruncated;
+    // libcurl reports a header line beyond its own limit as lack of memory.
+    case CURLE_OUT_OF_MEMORY:
     case CURLE_WRITE_ERROR:
     case CURLE_UNSUPPORTED_PROTOCOL:
     case CURLE_WEIRD_SERVER_REPLY:
--- a/shell/transfer.h
+++ b/shell/transfer.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <atomic>
 #include <chrono>
+#include <cstddef>
 
 #include <curl/curl.h>
 
@@ -8,6 +10,14 @@
 
 namespace limpetrouter::shell {
 
+/// Received bytes of the unfinished transfers of a pool. Changed by the pool's thread only.
+struct answer_buffers {
+  answer_limits limits;
+  std::size_t transfers = 0;
+  std::size_t bytes = 0;
+  std::atomic<std::size_t> max_bytes{0};
+};
+
 /// One running transfer. libcurl keeps a pointer to it.
 struct transfer {
   transfer_request request;
@@ -19,10 +29,16 @@
   std::chrono::steady_clock::time_point started;
   /// Counts how often libcurl was about to write the request.
   int write_attempts = 0;
+  answer_buffers* buffers = nullptr;
+  /// Bytes of the header so far, including interim answers and trailers.
+  std::size_t header_bytes = 0;
   bool answer_too_large = false;
   bool deadline_passed = false;
 };
 
+/// Returns the number of bytes that the unfinished answer occupies.
+std::size_t BufferedBytes(const transfer& t);
+
 /// Sets the libcurl options of the transfer on its handle. `time_left` is the time until the deadline of the transfer,
 /// and `post_headers` are the header fields of a JSON request.
 void SetOptions(transfer& t, std::chrono::milliseconds time_left, const curl_slist* post_headers);
--- a/shell/transfer_pool.cc
+++ b/shell/transfer_pool.cc
@@ -52,6 +52,7 @@
 
   /// Used by the pool's thread only.
   std::unordered_map<transfer_id, std::unique_ptr<transfer>> running;
+  answer_buffers buffers;
   std::vector<CURL*> idle_handles;
 
   /// Watches the sockets that libcurl reports through its socket callback, so that the cost of an event does not depend
@@ -159,6 +160,8 @@
 
   void StartTransfer(std::unique_ptr<transfer> owned) {
     transfer& t = *owned;
+    t.buffers = &buffers;
+    ++buffers.transfers;
     running.emplace(t.request.id, std::move(owned));
     const auto time_left = std::chrono::ceil<milliseconds>(t.request.deadline - steady_clock::now());
     if (time_left.count() <= 0) return EndTransfer(t.request.id, transfer_outcome::kDeadlineExceeded);
@@ -196,6 +199,8 @@
     if (found == running.end()) return;
     const std::unique_ptr<transfer> t = std::move(found->second);
     running.erase(found);
+    --buffers.transfers;
+    buffers.bytes -= BufferedBytes(*t);
     if (t->handle != nullptr) {
       // Removing a handle in the middle of its transfer closes the connection, so a late answer is never delivered.
       curl_multi_remove_handle(multi, t->handle);
@@ -210,8 +215,9 @@
   }
 };
 
-transfer_pool::transfer_pool() : impl_(std::make_unique<impl>()) {
+transfer_pool::transfer_pool(const answer_limits& limits) : impl_(std::make_unique<impl>()) {
   InitialiseCurl();
+  impl_->buffers.limits = limits;
   impl_->multi = curl_multi_init();
   curl_multi_setopt(impl_->multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
   impl_->epoll = epoll_create1(EPOLL_CLOEXEC);
@@ -267,6 +273,8 @@
   impl_->WakeIfIdle(was_idle);
 }
 
+std::size_t transfer_pool::MaxBufferedBytes() const { return impl_->buffers.max_bytes; }
+
 void transfer_pool::Stop() {
   {
     const std::lock_guard lock(impl_->mutex);
--- a/shell/transfer_pool.h
+++ b/shell/transfer_pool.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "shell/answer_limits.h"
 #include "shell/http_request_parser.h"
 
 namespace limpetrouter::shell {
@@ -82,7 +83,7 @@
 /// Runs HTTP requests on one thread with libcurl's multi interface. Connections are kept open and reused. Thread-safe.
 class transfer_pool {
  public:
-  transfer_pool();
+  explicit transfer_pool(const answer_limits& limits = {});
   /// Cancels running transfers, like `Stop`.
   ~transfer_pool();
   transfer_pool(const transfer_pool&) = delete;
@@ -95,6 +96,8 @@
   /// Cancels everything and ends the thread. Later requests end as cancelled at once, on the thread that starts
   /// them.
   void Stop();
+  /// Returns the largest number of bytes of unfinished answers that the pool has held at one time.
+  std::size_t MaxBufferedBytes() const;
 
  private:
   struct impl;
--- a/tests/shell/http_request_parser_test.cc
+++ b/tests/shell/http_request_parser_test.cc
@@ -47,6 +47,35 @@
   CHECK(ParseRequest(r.input, kLimits).state == r.state);
 }
 
+/// Returns `text` repeated until it is at least `size` long.
+std::string RepeatTo(const std::string& text, std::size_t size) {
+  std::string repeated;
+  while (repeated.size() < size)
+    repeated += text;
+  return repeated;
+}
+
+// Guards against a caller whose trailers or chunk extensions come without end: each line is short, and all of them were
+// buffered.
+TEST_CASE("a chunked body is limited together with its framing") {
+  struct row {
+    std::string after_header;
+    parse_state state;
+  };
+  const auto r = GENERATE(values<row>({
+      {"0\r\n" + RepeatTo("A: b\r\n", 190), parse_state::kIncomplete},
+      {"0\r\n" + RepeatTo("A: b\r\n", 190) + "\r\n", parse_state::kComplete},
+      {"0\r\n" + RepeatTo("A: b\r\n", 210), parse_state::kHeaderTooLarge},
+      {"0\r\n" + RepeatTo("A: b\r\n", 210) + "\r\n", parse_state::kHeaderTooLarge},
+      {RepeatTo("1;extension=" + std::string(10, 'x') + "\r\na\r\n", 500), parse_state::kHeaderTooLarge},
+      {RepeatTo("00000000000000000000000001\r\na\r\n", 500), parse_state::kHeaderTooLarge},
+      {RepeatTo("1\r\na\r\n", 120) + "0\r\n\r\n", parse_state::kComplete},
+  }));
+  INFO(r.after_header);
+  const std::string header = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  CHECK(ParseRequest(header + r.after_header, kLimits).state == r.state);
+}
+
 // Guards against a body, target or header field that the parser changes, and against lost input of the next request.
 TEST_CASE("a request is parsed as it was sent") {
   const std::string next = "GET /next HTTP/1.1\r\n";
--- a/tests/shell/scripted_server.cc
+++ b/tests/shell/scripted_server.cc
@@ -1,5 +1,7 @@
 #include "scripted_server.h"
 
+#include <cerrno>
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -87,7 +89,8 @@
       // A connection that the client closes becomes readable, which ends the wait.
       if (reply.delay.count() > 0 && IsReadable(fd, static_cast<int>(reply.delay.count()))) break;
       ::send(fd, reply.bytes.data(), reply.bytes.size(), MSG_NOSIGNAL);
-      open = !reply.close;
+      if (!reply.endless.empty()) WriteEndlessly(fd, reply.endless);
+      open = !reply.close && reply.endless.empty();
       continue;
     }
     if (!IsReadable(fd, kPollMs)) continue;
@@ -99,6 +102,24 @@
   ::close(fd);
 }
 
+void scripted_server::WriteEndlessly(int fd, const std::string& bytes) {
+  std::string block;
+  constexpr std::size_t kBlockBytes = 64 * 1024;
+  while (block.size() < kBlockBytes)
+    block += bytes;
+  std::size_t offset = 0;
+  while (!stopping_) {
+    pollfd wait{fd, POLLOUT, 0};
+    if (::poll(&wait, 1, kPollMs) <= 0) continue;
+    const ssize_t sent = ::send(fd, block.data() + offset, block.size() - offset, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent < 0 && errno != EAGAIN) {
+      ++ended_replies_;
+      return;
+    }
+    if (sent > 0) offset = (offset + static_cast<std::size_t>(sent)) % block.size();
+  }
+}
+
 int ConnectTo(const std::string& address) {
   std::string ip;
   std::uint16_t port = 0;
--- a/tests/shell/scripted_server.h
+++ b/tests/shell/scripted_server.h
@@ -19,6 +19,8 @@
   bool close = false;
   /// Time to wait before `bytes` are written; the wait ends early if the client closes the connection.
   std::chrono::milliseconds delay{0};
+  /// Written again and again after `bytes`, until the client closes the connection; empty for none.
+  std::string endless = {};
 };
 
 /// Returns an HTTP answer with a JSON body.
@@ -35,16 +37,21 @@
   std::string Address() const;
   std::vector<std::string> Requests() const;
   std::size_t Connections() const { return connections_; }
+  /// Number of endless replies that the client has ended by closing their connection.
+  std::size_t EndedReplies() const { return ended_replies_; }
 
  private:
   void Accept();
   void Serve(int fd);
+  /// Writes `bytes` again and again until the client closes the connection or this server stops.
+  void WriteEndlessly(int fd, const std::string& bytes);
 
   script script_;
   int listener_ = -1;
   std::uint16_t port_ = 0;
   std::atomic<bool> stopping_{false};
   std::atomic<std::size_t> connections_{0};
+  std::atomic<std::size_t> ended_replies_{0};
   mutable std::mutex mutex_;
   std::vector<std::string> requests_;
   std::vector<std::thread> threads_;
--- a/tests/shell/transfer_pool_test.cc
+++ b/tests/shell/transfer_pool_test.cc
@@ -81,5 +81,83 @@
   CHECK(stated_ms <= (kTimeout - kDelay).count() + 60);
 }
 
+constexpr char kAnswerStart[] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// Guards against a server in trouble whose answer never ends. Without a limit on the header, its fields were collected
+// until the deadline; with one on each body alone, many such servers together exceeded the memory of an instance.
+TEST_CASE("an answer without end is malformed long before the deadline") {
+  struct row {
+    std::string what;
+    std::string start;
+    std::string endless;
+  };
+  const auto r = GENERATE(values<row>({
+      {"header fields", "HTTP/1.1 200 OK\r\n", "Field: value\r\n"},
+      {"one header line", "HTTP/1.1 200 OK\r\nField: ", "value"},
+      {"a status line", "HTTP/1.1 200 ", "O"},
+      {"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+      {"interim answers with fields", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+      {"bytes that are not HTTP", "", "\x01\x02\x03"},
+      {"a body with its connection as end", "HTTP/1.1 200 OK\r\n\r\n", "body"},
+      {"a chunked body", kAnswerStart, "4\r\nbody\r\n"},
+      {"trailer fields", std::string(kAnswerStart) + "0\r\n", "Field: value\r\n"},
+  }));
+  const bool opaque = GENERATE(true, false);
+  INFO(r.what << (opaque ? ", opaque request" : ", JSON request"));
+  scripted_server server([&r](const std::string&) { return scripted_reply{r.start, false, {}, r.endless}; });
+  transfer_pool pool;
+  constexpr milliseconds kTimeout{4'000};
+  transfer_request request = OpaqueGet(pool, server.Address(), kTimeout);
+  if (!opaque) {
+    request.method.clear();
+    request.url += "/x";
+  }
+  std::atomic<bool> ended{false};
+  transfer_result result;
+  request.done = [&ended, &result](transfer_result&& answer) {
+    result = std::move(answer);
+    ended = true;
+  };
+  pool.Start(std::move(request));
+  REQUIRE(Eventually([&ended] { return ended.load(); }));
+  CHECK(result.outcome == transfer_outcome::kMalformed);
+  CHECK(result.elapsed < kTimeout / 2);
+  CHECK(Eventually([&server] { return server.EndedReplies() == 1; }));
+}
+
+// Guards against many servers in trouble at once: each answer stays below its own limit, but all of them together
+// exceed the memory of an instance.
+TEST_CASE("answers of 200 servers without end are limited together") {
+  constexpr std::size_t kServers = 200;
+  constexpr std::size_t kMaxBuffered = 4 * 1024 * 1024;
+  std::atomic<bool> endless{true};
+  scripted_server server([&endless](const std::string&) {
+    return endless ? scripted_reply{kAnswerStart, false, {}, "4\r\nbody\r\n"}
+                   : scripted_reply{HttpAnswer(200, "{}"), false, {}, {}};
+  });
+  transfer_pool pool({kMaxBuffered, kMaxBuffered});
+  std::atomic<std::size_t> malformed{0};
+  std::atomic<std::size_t> ended{0};
+  for (std::size_t i = 0; i < kServers; ++i) {
+    transfer_request request = OpaqueGet(pool, server.Address(), milliseconds(4'000));
+    request.max_answer_bytes = kMaxBuffered;
+    request.done = [&](transfer_result&& answer) {
+      if (answer.outcome == transfer_outcome::kMalformed) ++malformed;
+      ++ended;
+    };
+    pool.Start(std::move(request));
+  }
+  REQUIRE(Eventually([&ended] { return ended == kServers; }));
+  CHECK(malformed == kServers);
+  CHECK(pool.MaxBufferedBytes() <= 2 * kMaxBuffered);
+
+  endless = false;
+  std::atomic<bool> answered{false};
+  transfer_request healthy = OpaqueGet(pool, server.Address(), milliseconds(4'000));
+  healthy.done = [&answered](transfer_result&& answer) { answered = answer.outcome == transfer_outcome::kAnswered; };
+  pool.Start(std::move(healthy));
+  CHECK(Eventually([&answered] { return answered.load(); }));
+}
+
 }  // namespace
 }  // namespace limpetrouter::shell
