--- a/core/forwarding/directory.cc
+++ b/core/forwarding/directory.cc
@@ -95,7 +95,7 @@
 
 bool IsSaturated(const forwarding_tables& tables, base::time_point now) {
   if (tables.tick_lag_us >= static_cast<double>(kBusyLag.count())) return true;
-  return tables.caller_load >= kBusyLoad && now - tables.caller_load_at < kLoadLifetime;
+  return tables.call_thread_load >= kBusyLoad && now - tables.call_thread_load_at < kLoadLifetime;
 }
 
 }  // namespace
@@ -144,7 +144,7 @@
   membership::RecordBusy(ctx.facts, ctx.members.self.ref.id, kBusyTime, ctx.now);
   instance::LogDecision(ctx, "busy",
                         {{"tick_lag_ms", std::to_string(static_cast<int>(tables.tick_lag_us / 1'000))},
-                         {"caller_load", fmt::format("{:.2f}", tables.caller_load)}});
+                         {"call_thread_load", fmt::format("{:.2f}", tables.call_thread_load)}});
 }
 
 }  // namespace limpetrouter::core::forwarding
--- a/core/forwarding/messages.h
+++ b/core/forwarding/messages.h
@@ -65,7 +65,7 @@
   bool opened_connection = false;
   base::duration elapsed{};
   /// Share of recent time in which the thread that makes the calls had work, from 0 to 1.
-  double caller_load = 0;
+  double call_thread_load = 0;
 };
 
 /// The answer to a caller.
--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -135,8 +135,8 @@
   base::time_point last_tick{};
   double tick_lag_us = 0;
   /// Last reported load of the thread that calls backend servers, from 0 to 1, and when it was reported.
-  double caller_load = 0;
-  base::time_point caller_load_at{};
+  double call_thread_load = 0;
+  base::time_point call_thread_load_at{};
 };
 
 }  // namespace limpetrouter::core::forwarding
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -223,8 +223,8 @@
   if (found == tables.calls.end()) return;
   const call ended = found->second;
   tables.calls.erase(found);
-  tables.caller_load = event.result.caller_load;
-  tables.caller_load_at = ctx.now;
+  tables.call_thread_load = event.result.call_thread_load;
+  tables.call_thread_load_at = ctx.now;
   NoteServerResult(tables, ctx, event.call, ended, event.result);
   const auto active = tables.requests.find(ended.request);
   if (active == tables.requests.end()) {
--- a/shell/forwarding_gateway.cc
+++ b/shell/forwarding_gateway.cc
@@ -115,7 +115,7 @@
     const double load = result.pool_load;
     core::forwarding::call_result call_result = adapter.decode_result(*command.request, std::move(result));
     call_result.elapsed = elapsed;
-    call_result.caller_load = load;
+    call_result.call_thread_load = load;
     request_metrics.CallEnded(call_result);
     post(core::io::server_call_ended{command.call, std::move(call_result)});
   }
--- a/tests/core/forwarding/directory_test.cc
+++ b/tests/core/forwarding/directory_test.cc
@@ -78,7 +78,7 @@
   fixture.AddServers({forwarding_fixture::MakeServer("s1", "single", "a")});
   fixture.Send();
   call_result result = forwarding_fixture::Served();
-  result.caller_load = r.load;
+  result.call_thread_load = r.load;
   fixture.End(fixture.TakeCalls().at(0), std::move(result));
   fixture.tables.last_tick = fixture.now + r.age - milliseconds(5);
   fixture.now += r.age;
