Log the rate limits that backend servers state, and the calls made under them

Change: the limit in an answer is decoded and kept for each server, and no longer forwarded to callers. New lines rate_limit when a limit is stated, changed or ended, and every 4 s while it is in force, with the calls of the instance; the limit of each server in limpetctl forwarding. Calls are made as before. An answer ends or raises a limit only if its call was started after the last statement; a refusal without the field, and a field that cannot be decoded, say nothing.

--- a/cli/forwarding.cc
+++ b/cli/forwarding.cc
@@ -36,6 +36,8 @@
                 {}};
   for (const json& each : report.at("backend_servers")) {
     std::string state = "in use";
+    if (each.value("limit_age_ms", std::int64_t{-1}) >= 0)
+      state = fmt::format("limited to {:.1f} per second", each.value("limit_per_second", 0.0));
     if (each.value("missing_ms", std::int64_t{-1}) >= 0) state = "missing";
     if (each.value("misdirected", false)) state = "replaced";
     if (each.value("draining", false)) state = "draining";
--- a/core/forwarding/forwarding.cc
+++ b/core/forwarding/forwarding.cc
@@ -7,6 +7,7 @@
 
 #include "core/forwarding/directory.h"
 #include "core/forwarding/publication_spread.h"
+#include "core/forwarding/rate_limit.h"
 #include "core/forwarding/requests.h"
 #include "core/forwarding/retry_budget.h"
 
@@ -90,6 +91,7 @@
   UpdateFleetSize(tables, ctx);
   UpdateEntryCount(tables, ctx);
   LogChanges(ctx, ExpireMissing(tables.servers, ctx.now));
+  ReportRateLimits(tables.servers, ctx);
 }
 
 bool IsReady(const forwarding_tables& tables) { return tables.routing != nullptr && tables.servers.known; }
@@ -130,7 +132,9 @@
                         {"running", each.running.size()},
                         {"slowness", each.slowness},
                         {"failure_share", each.failure_share},
-                        {"load_age_ms", AgeMs(each.load_at, now)}});
+                        {"load_age_ms", AgeMs(each.load_at, now)},
+                        {"limit_per_second", each.limit.has_value() ? each.limit->rate.per_second : 0},
+                        {"limit_age_ms", each.limit.has_value() ? AgeMs(each.limit->since, now) : -1}});
     }
   }
   return report;
--- a/core/forwarding/messages.h
+++ b/core/forwarding/messages.h
@@ -49,6 +49,19 @@
   double slowdown = 1;
 };
 
+/// Number of requests per second.
+struct request_rate {
+  double per_second = 0;
+
+  friend bool operator==(const request_rate&, const request_rate&) = default;
+};
+
+/// What an answer says about the rate limit of the backend server that made it.
+struct rate_limit_statement {
+  /// Maximum rate of requests that the server accepts from all instances together; absent if it states no limit.
+  std::optional<request_rate> limit;
+};
+
 /// How a call ended.
 struct call_result {
   /// Absent if the backend server sent a complete answer to this request.
@@ -60,6 +73,8 @@
   header_fields headers;
   std::string body;
   std::optional<server_load> load;
+  /// Absent if the answer does not tell whether a limit is in force.
+  std::optional<rate_limit_statement> rate_limit;
   /// How long the backend server keeps the idle connection, if it stated this.
   std::optional<base::duration> keep_alive;
   bool opened_connection = false;
--- a/core/forwarding/request_calls.cc
+++ b/core/forwarding/request_calls.cc
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include "core/forwarding/rate_limit.h"
 #include "core/forwarding/request_outcome.h"
 #include "core/forwarding/retry_budget.h"
 #include "core/forwarding/server_choice.h"
@@ -112,6 +113,7 @@
   started.started = ctx.now;
   tables.calls.emplace(id, started);
   NoteCallStart(target, {id, ctx.now, TypicalLatency(tables, *request.route)});
+  NoteLimitedCall(target, purpose != send_purpose::kFirst);
   if (purpose != send_purpose::kFirst) {
     ++(purpose == send_purpose::kHedge ? request.hedges : request.retries);
     LogRequest(tables.history, ctx, request.content->attempt, purpose == send_purpose::kHedge ? "hedge" : "retry",
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -8,6 +8,7 @@
 #include "core/base/digest.h"
 #include "core/forwarding/answers.h"
 #include "core/forwarding/crash_suspects.h"
+#include "core/forwarding/rate_limit.h"
 #include "core/forwarding/request_calls.h"
 #include "core/forwarding/request_outcome.h"
 #include "core/forwarding/retry_budget.h"
@@ -78,6 +79,7 @@
   } else if (result.failure == error_kind::kConnectionLost) {
     NoteLostCall(target, {ended.fingerprint, ended.started, ctx.now, EstimateOtherWork(target, ctx.now)});
   }
+  if (result.rate_limit.has_value()) NoteRateLimit(target, ctx, *result.rate_limit, ended.started);
   if (result.keep_alive.has_value()) target.max_idle = *result.keep_alive;
   if (result.failure == error_kind::kBackendReplaced && !target.misdirected) {
     target.misdirected = true;
--- a/core/forwarding/server_table.h
+++ b/core/forwarding/server_table.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -31,6 +32,19 @@
   double other_work = 0;
 };
 
+/// The rate limit that a backend server states in its answers.
+struct rate_limit {
+  request_rate rate;
+  /// When the limit was stated first.
+  base::time_point since{};
+  /// When the limit, or a lower one, was stated last.
+  base::time_point confirmed_at{};
+  base::time_point reported_at{};
+  /// Calls of this instance since `reported_at`, and how many of them were hedges or retries.
+  std::uint32_t calls = 0;
+  std::uint32_t repeated = 0;
+};
+
 /// A backend server: its entry in the service registry, and what this instance has observed of it.
 struct server {
   server_record record;
@@ -60,6 +74,8 @@
   /// Work of other callers, in calls, from the last load report.
   double other_work = 0;
   base::time_point load_at{};
+  /// Absent while the server states no limit.
+  std::optional<rate_limit> limit;
   /// Calls that were lost since the server last served one.
   std::vector<lost_call> lost_calls;
   /// How long the server keeps idle connections, as stated in its answers; zero if not stated.
--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -163,6 +163,49 @@
   CHECK(result.keep_alive == r.idle);
 }
 
+// Guards against a rate limit that is missed, that a damaged field or a refusal ends, or that another server states.
+TEST_CASE("the rate limit of an answer is decoded, and only the server's own complete answer can end it") {
+  struct row {
+    int status;
+    http_headers headers;
+    bool states;
+    std::optional<double> per_second;
+  };
+  const http_headers own = {{"X-Attempt-Id", "a1"}, {"X-Server-Stamp", "s"}};
+  const auto with_limit = [&own](const std::string& value) {
+    http_headers changed = own;
+    changed.emplace_back("server-limit", value);
+    return changed;
+  };
+  const auto r = GENERATE_COPY(values<row>({
+      {200, with_limit("31.8"), true, 31.8},
+      {500, with_limit("20"), true, 20.0},
+      {200, with_limit("0"), true, 0.0},
+      {200, own, true, {}},
+      {200, with_limit(""), false, {}},
+      {200, with_limit("many"), false, {}},
+      {200, with_limit("-1"), false, {}},
+      {200, with_limit("inf"), false, {}},
+      {200, with_limit("3,5"), false, {}},
+      {503, {{"X-Not-Executed", "1"}, {"Server-Limit", "5.5"}}, true, 5.5},
+      {503, {{"X-Not-Executed", "1"}}, false, {}},
+      {200, {{"X-Attempt-Id", "a2"}, {"X-Server-Stamp", "s"}, {"Server-Limit", "5"}}, false, {}},
+      {421, {{"X-Instance-Id", "i-2"}, {"Server-Limit", "5"}}, false, {}},
+  }));
+  core::forwarding::request request;
+  request.attempt = "a1";
+  shell::transfer_result ended;
+  ended.outcome = transfer_outcome::kAnswered;
+  ended.status = r.status;
+  ended.headers = r.headers;
+  const core::forwarding::call_result result = DecodeResult(request, std::move(ended));
+  REQUIRE(result.rate_limit.has_value() == r.states);
+  if (!r.states) return;
+  REQUIRE(result.rate_limit->limit.has_value() == r.per_second.has_value());
+  if (r.per_second.has_value()) CHECK(result.rate_limit->limit->per_second == *r.per_second);
+  CHECK(shell::FindHeader(result.headers, "Server-Limit") == nullptr);
+}
+
 // Guards against this instance's own answer carrying a backend server's proof, and against hidden missing parts.
 TEST_CASE("a merged answer states its parts and the missing ones, and a failure carries no proof") {
   core::forwarding::request request;
