Keep to the rate limits that backend servers state, shared by all instances

Cause: a statement of a server that holds for the whole fleet was not taken into account at all. Applied by each instance alone it would not have helped: one instance makes fewer calls than the limit allows. Change: each instance takes a fixed share of each limit, from the number of instances that callers are directed to, with no messages between instances; a tenth is left for the others. Calls are spaced by that share with a burst of one second, and calls that were not made lapse, so that many instances cannot catch up together. Calls beyond the share go to other servers. Hedges never go to such a server. A request that no server may take, or that cannot reach its coverage, is refused at once with the time of the next call as Retry-After.

--- a/core/forwarding/forwarding.cc
+++ b/core/forwarding/forwarding.cc
@@ -90,6 +90,7 @@
   tables.next_cleanup = ctx.now + kCleanUpInterval;
   UpdateFleetSize(tables, ctx);
   UpdateEntryCount(tables, ctx);
+  UpdateLimitShare(tables, ctx);
   LogChanges(ctx, ExpireMissing(tables.servers, ctx.now));
   ReportRateLimits(tables.servers, ctx);
 }
--- a/core/forwarding/request_calls.cc
+++ b/core/forwarding/request_calls.cc
@@ -89,7 +89,7 @@
   choice_rules rules;
   rules.own_data_centre = ctx.members.self.data_centre;
   rules.max_running = MaxRunning(tables, request, part.service);
-  rules.needs_free_slot = hedge;
+  rules.is_hedge = hedge;
   rules.avoid_probation = !IsIdempotent(request);
   rules.excluded = &part.tried;
   return ChooseServer(tables.servers, part.service, rules, ctx.now, ctx.random);
@@ -113,7 +113,7 @@
   started.started = ctx.now;
   tables.calls.emplace(id, started);
   NoteCallStart(target, {id, ctx.now, TypicalLatency(tables, *request.route)});
-  NoteLimitedCall(target, purpose != send_purpose::kFirst);
+  TakeLimitedCall(target, tables.servers.limit_share, purpose != send_purpose::kFirst, ctx.now);
   if (purpose != send_purpose::kFirst) {
     ++(purpose == send_purpose::kHedge ? request.hedges : request.retries);
     LogRequest(tables.history, ctx, request.content->attempt, purpose == send_purpose::kHedge ? "hedge" : "retry",
@@ -145,6 +145,9 @@
     case choice_state::kFull:
       part.waiting = true;
       break;
+    case choice_state::kLimited:
+      request.last_failure = base::error_kind::kOverloaded;
+      [[fallthrough]];
     case choice_state::kNone:
       part.waiting = false;
       part.failed = true;
--- a/core/forwarding/request_outcome.cc
+++ b/core/forwarding/request_outcome.cc
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "core/forwarding/answers.h"
+#include "core/forwarding/rate_limit.h"
 
 namespace limpetrouter::core::forwarding {
 namespace {
@@ -20,15 +21,17 @@
 /// connection, and the backend server then has to accept a new one.
 constexpr base::duration kLingerTime = milliseconds(250);
 
-/// Returns the delay until the first ejected server of the unanswered parts is tried again.
+/// Returns the delay until a call to a server of the unanswered parts that is ejected, or whose rate limit is used up,
+/// is possible again.
 base::duration RetryAfter(const forwarding_tables& tables, const active_request& request, base::time_point now) {
   std::optional<base::time_point> earliest;
   for (const request_part& part : request.parts) {
     if (part.result.has_value()) continue;
     for (const base::backend_server_id& id : ServersOf(tables.servers, part.service)) {
       const server& each = tables.servers.servers.at(id);
-      if (each.ejected_until > now && (!earliest.has_value() || each.ejected_until < *earliest))
-        earliest = each.ejected_until;
+      const base::time_point possible =
+          std::max(each.ejected_until, NextCallTime(each, tables.servers.limit_share, now));
+      if (possible > now && (!earliest.has_value() || possible < *earliest)) earliest = possible;
     }
   }
   return earliest.has_value() ? std::min(*earliest - now, kMaxRetryAfter) : kDefaultRetryAfter;
@@ -53,7 +56,9 @@
     std::string& list = part.calls.empty() && !part.waiting ? failed : pending;
     list += (list.empty() ? "" : ",") + part.service.value;
   }
-  std::string detail(base::DescribeError(request.last_failure).message);
+  const std::string detail(request.last_failure == error_kind::kOverloaded
+                               ? "the rate limits that its backend servers state are used up"
+                               : base::DescribeError(request.last_failure).message);
   if (!failed.empty()) return fmt::format("{}: {}", failed, detail);
   return fmt::format("no answer from {}", pending);
 }
@@ -100,7 +105,8 @@
   }
   const bool coverage_unreachable = !ReachesCoverage(p.total - p.failed, request);
   if (!coverage_unreachable && ctx.now < request.deadline - kAnswerMargin) return false;
-  const error_kind kind = coverage_unreachable ? error_kind::kNoUsableReplica : error_kind::kDeadlineExceeded;
+  error_kind kind = coverage_unreachable ? error_kind::kNoUsableReplica : error_kind::kDeadlineExceeded;
+  if (coverage_unreachable && request.last_failure == error_kind::kOverloaded) kind = error_kind::kOverloaded;
   FinishRequest(tables, ctx, handle, MakeRequestFailure(tables, request, kind, ctx.now));
   return true;
 }
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -79,7 +79,8 @@
   } else if (result.failure == error_kind::kConnectionLost) {
     NoteLostCall(target, {ended.fingerprint, ended.started, ctx.now, EstimateOtherWork(target, ctx.now)});
   }
-  if (result.rate_limit.has_value()) NoteRateLimit(target, ctx, *result.rate_limit, ended.started);
+  if (result.rate_limit.has_value())
+    NoteRateLimit(target, ctx, *result.rate_limit, ended.started, tables.servers.limit_share);
   if (result.keep_alive.has_value()) target.max_idle = *result.keep_alive;
   if (result.failure == error_kind::kBackendReplaced && !target.misdirected) {
     target.misdirected = true;
@@ -195,8 +196,9 @@
   for (request_part& part : added.parts) {
     CountRequest(tables, part.service, ctx.now);
     const choice chosen = Choose(tables, ctx, added, part, false);
-    part.failed = chosen.state == choice_state::kNone;
+    part.failed = chosen.state == choice_state::kNone || chosen.state == choice_state::kLimited;
     part.waiting = chosen.state == choice_state::kFull;
+    if (chosen.state == choice_state::kLimited) added.last_failure = error_kind::kOverloaded;
     possible += part.failed ? 0 : 1;
     choices.push_back(chosen);
   }
--- a/core/forwarding/server_choice.cc
+++ b/core/forwarding/server_choice.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/forwarding/rate_limit.h"
+
 namespace limpetrouter::core::forwarding {
 namespace {
 
@@ -125,10 +127,14 @@
     const std::size_t limit = each.connection_limit_until > now ? each.connection_limit : rules.max_running;
     const std::size_t max_calls = each.ejections > 0 ? 1 : std::min<std::size_t>(limit, rules.max_running);
     const bool full = each.running.size() >= max_calls || EstimateWork(each, now) >= rules.max_work * each.record.slots;
-    const bool busy =
-        rules.needs_free_slot && (EstimateWork(each, now) >= each.record.slots || OverdueOf(each, now) > 0);
+    const bool busy = rules.is_hedge && (EstimateWork(each, now) >= each.record.slots || OverdueOf(each, now) > 0 ||
+                                         each.limit.has_value());
     if (full || busy) {
-      if (best.state == choice_state::kNone) best.state = choice_state::kFull;
+      if (best.state == choice_state::kNone || best.state == choice_state::kLimited) best.state = choice_state::kFull;
+      continue;
+    }
+    if (NextCallTime(each, table.limit_share, now) > now) {
+      if (best.state == choice_state::kNone) best.state = choice_state::kLimited;
       continue;
     }
     const double cost = CostOf(each, rules, now);
--- a/core/forwarding/server_choice.h
+++ b/core/forwarding/server_choice.h
@@ -16,8 +16,8 @@
   std::uint32_t max_running = 1;
   /// Maximum work of a server, in multiples of its slots. Further calls would wait there longer than is worthwhile.
   double max_work = 2;
-  /// True if the server must have a free slot, as for a repeated send.
-  bool needs_free_slot = false;
+  /// True for a hedge: the server must have a free slot and must not state a rate limit.
+  bool is_hedge = false;
   /// True if the call must not be lost, so that a server on probation after an ejection is the last resort.
   bool avoid_probation = false;
   /// Servers that must not be chosen. Must be set.
@@ -28,6 +28,8 @@
   kChosen,
   /// Servers could take the call later.
   kFull,
+  /// All servers that could take the call have rate limits, and this instance's shares of them are used up.
+  kLimited,
   /// No server of the service can take it.
   kNone,
 };
--- a/core/forwarding/server_table.h
+++ b/core/forwarding/server_table.h
@@ -40,6 +40,8 @@
   /// When the limit, or a lower one, was stated last.
   base::time_point confirmed_at{};
   base::time_point reported_at{};
+  /// When the next call is due at the steady rate. Calls may run ahead of this time by a bounded burst.
+  base::time_point next_call{};
   /// Calls of this instance since `reported_at`, and how many of them were hedges or retries.
   std::uint32_t calls = 0;
   std::uint32_t repeated = 0;
@@ -97,6 +99,8 @@
   std::deque<std::pair<base::backend_server_id, std::uint64_t>> removals;
   /// `removals` holds all removals after this revision.
   std::uint64_t removals_since = 0;
+  /// This instance's share of each rate limit that a server states for all instances together, from 0 to 1.
+  double limit_share = 1;
 };
 
 /// One change of the table, for the log.
--- a/tests/core/forwarding/rate_limit_test.cc
+++ b/tests/core/forwarding/rate_limit_test.cc
@@ -210,5 +210,118 @@
     CHECK(static_cast<double>(world.MostArrivals("single-" + std::to_string(i))) <= Allowed(r.limit));
 }
 
+// Guards against a server that gets too many requests because its limit changes, traffic jumps or instances restart
+// while the limit is in force, and against a server that stays unused after its limit has ended.
+TEST_CASE("a rate limit holds through changes, restarts and a burst, and its end is noticed") {
+  enum class event { kFalls, kRises, kRestarts, kBurst, kStartsInBurst };
+  const auto what = GENERATE(event::kFalls, event::kRises, event::kRestarts, event::kBurst, event::kStartsInBurst);
+  const std::size_t count = GENERATE(as<std::size_t>{}, 9, 40);
+  INFO("event " << static_cast<int>(what) << ", " << count << " instances");
+  limit_world world(count, forwarding_fixture::MakeRoute(repeat_policy::kIdempotent), Servers("single", 3, 3));
+  const std::string server = "single-0";
+  constexpr double kUsualRate = 150;
+  constexpr double kBurstRate = 600;
+  double limit = 20;
+  world.rate = what == event::kBurst || what == event::kStartsInBurst ? 15 : kUsualRate;
+  world.Run(seconds(2));
+  if (what == event::kStartsInBurst) world.rate = kBurstRate;
+  world.Limit(server, limit);
+  world.Run(seconds(8));
+  const base::time_point changed = world.now;
+  if (what == event::kFalls) world.Limit(server, limit = 6);
+  if (what == event::kRises) world.Limit(server, limit = 32);
+  if (what == event::kBurst) world.rate = kBurstRate;
+  for (std::size_t i = 0; i < 6; ++i) {
+    if (what == event::kRestarts) world.Restart(i);
+    world.Run(seconds(1));
+  }
+  world.Run(seconds(6));
+  const base::time_point from = what == event::kFalls ? changed + kSettleTime : base::time_point{};
+  CHECK(static_cast<double>(world.MostArrivals(server, from)) <= Allowed(limit));
+  world.Limit(server, {});
+  world.rate = kUsualRate;
+  world.Run(seconds(12));
+  const base::time_point ended = world.now - seconds(4);
+  const auto& arrivals = world.servers.at(server).arrivals;
+  const auto recent = std::count_if(arrivals.begin(), arrivals.end(), [ended](auto at) { return at > ended; });
+  CHECK(static_cast<double>(recent) > 0.7 * kUsualRate / 3 * 4);
+}
+
+// Guards against requests that wait until their deadline although every server that could take them has used up its
+// limit, and against limits that are not used because parts of refused requests have been sent.
+TEST_CASE("a request beyond the limits of all servers is refused at once, and the limits are used") {
+  const bool sharded = GENERATE(false, true);
+  const std::size_t services = sharded ? 4 : 1;
+  std::vector<server_record> servers;
+  for (std::size_t i = 0; i < services; ++i) {
+    for (server_record& each : Servers(sharded ? "shard" + std::to_string(i) : "single", 3, 3))
+      servers.push_back(std::move(each));
+  }
+  limit_world world(9, forwarding_fixture::MakeRoute(repeat_policy::kIdempotent, sharded ? services : 0), servers);
+  constexpr double kRate = 150;
+  constexpr double kLimit = 20;
+  world.rate = kRate;
+  world.Run(seconds(2));
+  // With half of the shards limited, an answer without them does not reach the minimum coverage.
+  for (const server_record& each : servers) {
+    if (!sharded || each.service.value < "shard2") world.Limit(each.id.value, kLimit);
+  }
+  world.Run(seconds(3));
+  world.statuses.clear();
+  world.refusal_times.clear();
+  world.retry_afters.clear();
+  constexpr int kSeconds = 10;
+  world.Run(seconds(kSeconds));
+  CHECK(world.statuses.size() == 2);
+  CHECK(static_cast<double>(world.statuses[200]) >= 0.85 * 3 * kLimit * kSeconds);
+  CHECK(world.statuses[503] == world.refusal_times.size());
+  CHECK(*std::max_element(world.refusal_times.begin(), world.refusal_times.end()) <= milliseconds(5));
+  REQUIRE(world.retry_afters.size() == world.refusal_times.size());
+  CHECK(*std::max_element(world.retry_afters.begin(), world.retry_afters.end()) <= seconds(1));
+  CHECK(*std::min_element(world.retry_afters.begin(), world.retry_afters.end()) > milliseconds(0));
+}
+
+// Guards against a limit that an answer from before the limit raises or ends, and against a limit that never ends.
+TEST_CASE("only the answer to a newer call raises or ends a rate limit") {
+  struct row {
+    std::optional<double> stated;
+    /// Start of the call, relative to the last statement.
+    base::duration started;
+    std::optional<double> known;
+  };
+  const auto r = GENERATE(values<row>({{20.0, milliseconds(-10), 20.0},
+                                       {10.0, milliseconds(-10), 10.0},
+                                       {30.0, milliseconds(-10), 20.0},
+                                       {30.0, milliseconds(10), 30.0},
+                                       {{}, milliseconds(-10), 20.0},
+                                       {{}, milliseconds(10), {}}}));
+  forwarding_fixture fixture;
+  instance::context ctx = fixture.Context();
+  server target;
+  const base::time_point stated_at = ctx.now;
+  NoteRateLimit(target, ctx, {request_rate{20}}, stated_at - milliseconds(30), 0.5);
+  ctx.now += milliseconds(50);
+  rate_limit_statement statement;
+  if (r.stated.has_value()) statement.limit = request_rate{*r.stated};
+  NoteRateLimit(target, ctx, statement, stated_at + r.started, 0.5);
+  REQUIRE(target.limit.has_value() == r.known.has_value());
+  if (r.known.has_value()) CHECK(target.limit->rate.per_second == *r.known);
+}
+
+// Guards against hedges that use up the calls that a server in need still accepts.
+TEST_CASE("a hedge is never sent to a server that states a rate limit") {
+  forwarding_fixture fixture;
+  fixture.SetRoute(forwarding_fixture::MakeRoute(repeat_policy::kIdempotent));
+  fixture.AddServers(Servers("single", 2, 3));
+  instance::context ctx = fixture.Context();
+  for (auto& [id, each] : fixture.tables.servers.servers)
+    NoteRateLimit(each, ctx, {request_rate{1'000}}, fixture.now, 1);
+  fixture.now += seconds(1);
+  fixture.Send();
+  REQUIRE(fixture.TakeCalls().size() == 1);
+  fixture.Run(milliseconds(500));
+  CHECK(fixture.TakeCalls().empty());
+}
+
 }  // namespace
 }  // namespace limpetrouter::core::forwarding
--- a/tests/core/forwarding/server_choice_test.cc
+++ b/tests/core/forwarding/server_choice_test.cc
@@ -124,7 +124,7 @@
 // Guards against hedges that lengthen a queue: a hedge is sent only to a free slot.
 TEST_CASE("a hedge requires a free slot") {
   choice_fixture fixture;
-  fixture.rules.needs_free_slot = true;
+  fixture.rules.is_hedge = true;
   for (const char* const id : {"a", "b", "c"}) {
     for (int i = 0; i < 4; ++i)
       fixture.Start(id);
