Log the epoch of the platform's store, and configurations that are ignored

Change: the epoch in the answers of the store is decoded and a change of it logged as store_epoch, with the revision that the store states and the one that the instance knows; a configuration older than the one in force is logged as ignored. Reads are made and applied as before. Ruled out: versions that are refused, failing reads, followers. Conclusion: revisions of two histories of the store are compared with each other.

--- a/core/forwarding/forwarding.cc
+++ b/core/forwarding/forwarding.cc
@@ -34,7 +34,14 @@
                   std::uint64_t revision) {
   if (routing == nullptr) return;
   const std::uint64_t current = tables.routing == nullptr ? 0 : tables.routing->version;
-  if (tables.routing != nullptr && routing->version <= current) return;
+  if (tables.routing != nullptr && routing->version == current) return;
+  if (tables.routing != nullptr && routing->version < current) {
+    instance::LogDecision(ctx, "configuration_ignored",
+                          {{"version", std::to_string(routing->version)},
+                           {"in_force", std::to_string(current)},
+                           {"revision", std::to_string(revision)}});
+    return;
+  }
   tables.routing = routing;
   tables.routing_since = ctx.now;
   instance::LogDecision(ctx, "configuration",
--- a/core/forwarding/messages.h
+++ b/core/forwarding/messages.h
@@ -126,6 +126,8 @@
   std::uint64_t read = 0;
   /// True if this is the complete state, so that a backend server that is not in `servers` has been removed.
   bool complete = false;
+  /// Counts how often the platform's store was restored from an older copy; 0 if not stated.
+  std::uint64_t epoch = 0;
   std::uint64_t revision = 0;
   std::vector<server_record> servers;
   /// Entries that were deleted, with the revision of the deletion.
@@ -141,6 +143,8 @@
   /// True if the history after the requested revision is no longer available.
   bool history_lost = false;
   std::string reason;
+  /// As in `published_changes`; 0 if there was no answer.
+  std::uint64_t epoch = 0;
 };
 
 }  // namespace limpetrouter::core::forwarding
--- a/core/forwarding/store_reader.cc
+++ b/core/forwarding/store_reader.cc
@@ -22,6 +22,17 @@
   return delay / 2 + base::duration(base::NextBelow(random, static_cast<std::uint64_t>(delay.count() / 2 + 1)));
 }
 
+/// Logs a change of the store's epoch. `revision` is what the answer stated, or 0 if it stated none.
+void NoteEpoch(store_reader& reader, instance::context& ctx, std::uint64_t epoch, std::uint64_t revision) {
+  if (epoch == 0 || epoch == reader.epoch) return;
+  instance::LogDecision(ctx, "store_epoch",
+                        {{"epoch", std::to_string(epoch)},
+                         {"replaces", std::to_string(reader.epoch)},
+                         {"revision", std::to_string(revision)},
+                         {"known_revision", std::to_string(reader.revision)}});
+  reader.epoch = epoch;
+}
+
 }  // namespace
 
 void RunReader(store_reader& reader, instance::context& ctx) {
@@ -39,6 +50,7 @@
 bool NoteRead(store_reader& reader, instance::context& ctx, const published_changes& changes) {
   if (changes.read != reader.read || reader.state == reader_state::kIdle) return false;
   reader.state = reader_state::kIdle;
+  NoteEpoch(reader, ctx, changes.epoch, changes.revision);
   if (reader.failures > 0) {
     instance::LogDecision(
         ctx, "store_regained",
@@ -57,6 +69,7 @@
 void NoteReadFailed(store_reader& reader, instance::context& ctx, const published_read_failed& failed) {
   if (failed.read != reader.read || reader.state == reader_state::kIdle) return;
   reader.state = reader_state::kIdle;
+  NoteEpoch(reader, ctx, failed.epoch, 0);
   if (failed.history_lost) {
     reader.needs_list = reader.needs_fresh_list = true;
     // The next read starts after a short random delay, so that the instances do not all read at once.
--- a/core/forwarding/store_reader.h
+++ b/core/forwarding/store_reader.h
@@ -18,6 +18,8 @@
   /// True if the next list must not be stale, because the history after `revision` is lost or the last list failed.
   bool needs_fresh_list = false;
   std::uint64_t revision = 0;
+  /// Epoch of the store that the last answer stated; 0 if none has stated one.
+  std::uint64_t epoch = 0;
   /// Number of the current read. Results of earlier reads are ignored.
   std::uint64_t read = 0;
   base::time_point next_read{};
--- a/tests/core/forwarding/store_reader_test.cc
+++ b/tests/core/forwarding/store_reader_test.cc
@@ -33,7 +33,7 @@
   }
   void Fail(std::uint64_t read, bool history_lost) {
     instance::context ctx = Context();
-    NoteReadFailed(tables.store, ctx, {read, history_lost, "reason"});
+    NoteReadFailed(tables.store, ctx, {read, history_lost, "reason", 0});
   }
 };
 
--- a/tests/scenario/world_forwarding.cc
+++ b/tests/scenario/world_forwarding.cc
@@ -132,7 +132,7 @@
 void world::ListPublished(process& p, std::uint64_t read) {
   Schedule(kStoreTime, [this, id = p.spec.id, life = p.life, read] {
     if (platform_down_ || platform_cuts_.contains(id)) {
-      return Deliver(id, life, io::published_read_failed{{read, false, "store is down"}});
+      return Deliver(id, life, io::published_read_failed{{read, false, "store is down", 0}});
     }
     fwd::published_changes changes = PublishedAll();
     changes.read = read;
@@ -145,7 +145,7 @@
   const base::time_point give_up = now_ + watch.wait;
   Poll(kStoreTime, [this, id, life = p.life, watch, give_up] {
     if (platform_down_ || platform_cuts_.contains(id)) {
-      Deliver(id, life, io::published_read_failed{{watch.read, false, "store is down"}});
+      Deliver(id, life, io::published_read_failed{{watch.read, false, "store is down", 0}});
       return true;
     }
     if (forward_.revision <= watch.after && now_ < give_up) return false;
