Order what a backend server states by its own sequence, and hold entries that a copy brings back

A request could be sent to a server that had left or drains, after the store was restored from a copy in which the server is ready. Cause: the revision of an entry was the only order of the statements of one server, and a removed server was forgotten. Change: start and sequence of the server order its statements. Departed servers are remembered (4,096 of them). An entry that states nothing new is not used until the server writes it again or it has not lapsed within three heartbeats and a second. The heartbeat is a checked setting, filled in from the platform's. Test: 'a copy of the store brings back neither a server that has left nor one that drains' failed before the change in all rows in which the server does not return. The tests of the table state sequences now, with rows for older ones.

--- a/core/forwarding/forwarding.cc
+++ b/core/forwarding/forwarding.cc
@@ -20,6 +20,14 @@
 /// answer has expired.
 constexpr base::duration kAddressMargin = std::chrono::milliseconds(500);
 constexpr base::duration kCleanUpInterval = std::chrono::milliseconds(200);
+/// The platform removes a server's entry after three missed heartbeats. The margin covers the delay of its removal.
+constexpr int kMissedHeartbeats = 3;
+constexpr base::duration kExpiryMargin = std::chrono::milliseconds(1'000);
+
+/// Returns the time after which the entry of a server that does not run has expired.
+base::duration EntryLifetime(const fleet_bounds& bounds) {
+  return kMissedHeartbeats * bounds.server_heartbeat + kExpiryMargin;
+}
 
 void LogChanges(instance::context& ctx, const std::vector<server_change>& changes) {
   for (const server_change& change : changes) {
@@ -98,7 +106,7 @@
   UpdateFleetSize(tables, ctx);
   UpdateEntryCount(tables, ctx);
   UpdateLimitShare(tables, ctx);
-  LogChanges(ctx, ExpireMissing(tables.servers, ctx.now));
+  LogChanges(ctx, UpdateDoubtful(tables.servers, EntryLifetime(tables.bounds), ctx.now));
   ReportRateLimits(tables.servers, ctx);
 }
 
--- a/core/forwarding/messages.h
+++ b/core/forwarding/messages.h
@@ -125,12 +125,14 @@
   base::duration warmup_left{};
   /// Orders the incarnations of one id; 0 if not stated.
   std::uint64_t incarnation = 0;
+  /// Counts what the incarnation has stated of itself; 0 if not stated.
+  std::uint64_t sequence = 0;
   /// Revision of the entry in the service registry, in the epoch of the changes or the table that hold the record.
   std::uint64_t revision = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(id, service, address, data_centre, slots, draining, warmup_left, incarnation, revision);
+    archive(id, service, address, data_centre, slots, draining, warmup_left, incarnation, sequence, revision);
   }
 };
 
--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -28,6 +28,8 @@
   std::uint32_t retry_allowance = 50;
   /// Maximum time for which callers keep an answer with addresses.
   base::duration max_address_validity = std::chrono::seconds(5);
+  /// Interval at which a backend server confirms its entry in the service registry.
+  base::duration server_heartbeat = std::chrono::milliseconds(1'200);
   /// A leaving process is killed after this time.
   base::duration shutdown_grace = std::chrono::seconds(6);
 };
--- a/core/forwarding/server_table.cc
+++ b/core/forwarding/server_table.cc
@@ -17,6 +17,16 @@
 constexpr base::duration kRemovalWindow = std::chrono::seconds(1);
 /// Number of removals that are kept, and that can be sent to followers one by one.
 constexpr std::size_t kKeptRemovals = 1'024;
+/// Number of departed servers that are remembered.
+constexpr std::size_t kKeptDepartures = 4'096;
+
+/// True if the server stated `record` before it stated what `known` holds. The sequence starts anew with each
+/// incarnation.
+template <class Statement>
+bool IsOlderStatement(const server_record& record, const Statement& known) {
+  if (record.incarnation != known.incarnation) return record.incarnation < known.incarnation;
+  return record.incarnation != 0 && record.sequence < known.sequence;
+}
 
 void RemoveFromService(server_table& table, const server& removed_server) {
   const auto found = table.by_service.find(removed_server.record.service);
@@ -25,9 +35,19 @@
   if (found->second.empty()) table.by_service.erase(found);
 }
 
+void NoteDeparture(server_table& table, const server_record& record) {
+  const departed_server departure{record.incarnation, record.sequence};
+  if (!table.departed.insert_or_assign(record.id, departure).second) return;
+  table.departure_order.push_back(record.id);
+  if (table.departure_order.size() <= kKeptDepartures) return;
+  table.departed.erase(table.departure_order.front());
+  table.departure_order.pop_front();
+}
+
 void Erase(server_table& table, const base::backend_server_id& id) {
   const auto found = table.servers.find(id);
   if (found == table.servers.end()) return;
+  NoteDeparture(table, found->second.record);
   RemoveFromService(table, found->second);
   table.servers.erase(found);
 }
@@ -55,21 +75,51 @@
   changes.push_back({id, "missing", removed_server.record.revision});
 }
 
+void AddNew(server_table& table, const server_record& record, base::time_point now,
+            std::vector<server_change>& changes) {
+  server added;
+  added.record = record;
+  added.record_read_at = added.slowness_at = added.failure_at = now;
+  table.by_service[record.service].push_back(record.id);
+  table.servers.emplace(record.id, std::move(added));
+  changes.push_back({record.id, record.draining ? "added draining" : "added", record.revision});
+}
+
+/// True if the entry of a departed server states nothing that the server had not stated before its departure, so that
+/// it does not show that the server is back.
+bool IsReturnedEntry(const server_table& table, const server_record& record) {
+  const auto found = table.departed.find(record.id);
+  if (found == table.departed.end() || record.incarnation == 0 || record.sequence == 0) return false;
+  const departed_server& departure = found->second;
+  const bool same = record.incarnation == departure.incarnation && record.sequence == departure.sequence;
+  return same || IsOlderStatement(record, departure);
+}
+
+void HoldReturned(server_table& table, const server_record& record, base::time_point now,
+                  std::vector<server_change>& changes) {
+  const auto [entry, inserted] = table.returned.try_emplace(record.id, returned_entry{record, now});
+  entry->second.record = record;
+  if (inserted) changes.push_back({record.id, "returned", record.revision});
+}
+
+void AddUnknown(server_table& table, const server_record& record, base::time_point now,
+                std::vector<server_change>& changes) {
+  if (IsReturnedEntry(table, record)) return HoldReturned(table, record, now, changes);
+  table.returned.erase(record.id);
+  AddNew(table, record, now, changes);
+}
+
 void Add(server_table& table, const server_record& record, base::time_point now, std::vector<server_change>& changes) {
   const auto found = table.servers.find(record.id);
-  if (found == table.servers.end()) {
-    server added;
-    added.record = record;
-    added.record_read_at = added.slowness_at = added.failure_at = now;
-    table.by_service[record.service].push_back(record.id);
-    table.servers.emplace(record.id, std::move(added));
-    changes.push_back({record.id, record.draining ? "added draining" : "added", record.revision});
-    return;
-  }
+  if (found == table.servers.end()) return AddUnknown(table, record, now, changes);
   server& known = found->second;
   if (record.revision <= known.record.revision && known.missing_since == base::time_point{}) return;
-  // A late write of an earlier incarnation says nothing about the incarnation that runs.
-  if (record.incarnation < known.record.incarnation) return;
+  // A late write, or an entry of a restored store, says nothing about what the server has stated since.
+  if (IsOlderStatement(record, known.record)) {
+    if (known.missing_since != base::time_point{}) HoldReturned(table, record, now, changes);
+    return;
+  }
+  table.returned.erase(record.id);
   const bool restarted = record.incarnation > known.record.incarnation || record.address != known.record.address;
   const bool drains = record.draining && !known.record.draining;
   if (record.service != known.record.service) {
@@ -119,6 +169,7 @@
   }
   std::vector<base::backend_server_id> removed;
   for (const auto& [id, revision] : changes.removed) {
+    table.returned.erase(id);
     const auto found = table.servers.find(id);
     if (found != table.servers.end() && found->second.record.revision < revision) removed.push_back(id);
   }
@@ -127,6 +178,8 @@
       if (!listed.contains(id) && known.record.revision <= changes.position.revision) removed.push_back(id);
     }
   }
+  if (changes.complete)
+    std::erase_if(table.returned, [&listed](const auto& item) { return !listed.contains(item.first); });
   // A complete list does not state at which revision an entry was removed.
   if (changes.complete) table.removals_since = std::max(table.removals_since, changes.position.revision);
   table.removals.insert(table.removals.end(), changes.removed.begin(), changes.removed.end());
@@ -144,15 +197,20 @@
 
 void NoteContactLost(server_table& table, base::time_point now) { table.contact_since = now; }
 
-std::vector<server_change> ExpireMissing(server_table& table, base::time_point now) {
-  std::vector<server_change> expired;
+std::vector<server_change> UpdateDoubtful(server_table& table, base::duration entry_lifetime, base::time_point now) {
+  std::vector<server_change> changes;
   for (const auto& [id, each] : table.servers) {
     if (each.missing_since == base::time_point{} || now - each.missing_since < kReregistrationTime) continue;
-    expired.push_back({id, "gone", each.record.revision});
+    changes.push_back({id, "gone", each.record.revision});
   }
-  for (const server_change& each : expired)
+  for (const server_change& each : changes)
     Erase(table, each.server);
-  return expired;
+  std::erase_if(table.returned, [&table, entry_lifetime, now, &changes](const auto& item) {
+    if (now - item.second.since < entry_lifetime || table.servers.contains(item.first)) return false;
+    AddNew(table, item.second.record, now, changes);
+    return true;
+  });
+  return changes;
 }
 
 published_changes ChangesSince(const server_table& table, const store_position& position) {
@@ -164,6 +222,9 @@
     if (each.missing_since != base::time_point{}) continue;
     if (changes.complete || each.record.revision > position.revision) changes.servers.push_back(each.record);
   }
+  for (const auto& [id, entry] : table.returned) {
+    if (changes.complete || entry.record.revision > position.revision) changes.servers.push_back(entry.record);
+  }
   if (changes.complete) return changes;
   for (const auto& removal : table.removals) {
     if (removal.second > position.revision) changes.removed.push_back(removal);
--- a/core/forwarding/server_table.h
+++ b/core/forwarding/server_table.h
@@ -84,6 +84,18 @@
   base::duration max_idle{};
 };
 
+/// What a backend server had stated last when its entry was removed.
+struct departed_server {
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+};
+
+/// An entry of a departed server that a restored store holds again. It is not used until the server proves to live.
+struct returned_entry {
+  server_record record;
+  base::time_point since{};
+};
+
 /// Backend servers by id and by service.
 struct server_table {
   std::unordered_map<base::backend_server_id, server> servers;
@@ -98,6 +110,10 @@
   std::vector<base::time_point> recent_removals;
   /// Latest removals of the present epoch with their revisions, for instances that follow this one.
   std::deque<std::pair<base::backend_server_id, std::uint64_t>> removals;
+  /// Servers that were removed, and their ids in the order of removal.
+  std::unordered_map<base::backend_server_id, departed_server> departed;
+  std::deque<base::backend_server_id> departure_order;
+  std::unordered_map<base::backend_server_id, returned_entry> returned;
   /// `removals` holds all removals after this revision.
   std::uint64_t removals_since = 0;
   /// This instance's share of each rate limit that a server states for all instances together, from 0 to 1.
@@ -111,13 +127,15 @@
   std::uint64_t revision = 0;
 };
 
-/// Applies what was read from the service registry, and returns the changes of the table. Entries of an older
-/// incarnation and older positions are ignored, and so are changes of a later epoch that are not its complete state.
+/// Applies what was read from the service registry, and returns the changes of the table. Older positions are ignored,
+/// as are older statements of a server whatever their revision is, and changes of a later epoch that are not its
+/// complete state.
 std::vector<server_change> ApplyRecords(server_table& table, const published_changes& changes, base::time_point now);
 /// Records that the service registry could not be read, so that removals soon afterwards are treated as doubtful.
 void NoteContactLost(server_table& table, base::time_point now);
-/// Removes servers whose entries did not reappear in time.
-std::vector<server_change> ExpireMissing(server_table& table, base::time_point now);
+/// Removes servers whose entries did not reappear in time, and adds departed servers whose returned entries did not
+/// expire within `entry_lifetime`.
+std::vector<server_change> UpdateDoubtful(server_table& table, base::duration entry_lifetime, base::time_point now);
 
 /// Returns the records and removals after `position`, or the complete state if it belongs to an earlier epoch or the
 /// removals are not known that far back.
--- a/shell/settings.cc
+++ b/shell/settings.cc
@@ -35,7 +35,7 @@
       {"peers", {"seeds", "port"}},
       {"forwarding",
        {"entry", "readiness", "directory", "store", "retry_ratio", "retry_window_s", "retry_allowance",
-        "max_address_validity_s", "shutdown_grace_s"}},
+        "max_address_validity_s", "shutdown_grace_s", "server_heartbeat_ms"}},
       {"limits",
        {"max_request_bytes", "max_peer_queue_bytes", "max_peer_connections", "max_pending_requests", "backend_threads",
         "max_answer_header_bytes", "max_buffered_answer_bytes"}},
@@ -227,6 +227,7 @@
   forwarding_settings parsed;
   constexpr double kMaxSeconds = 3'600;
   constexpr std::uint32_t kMaxAllowance = 1'000'000;
+  constexpr std::int64_t kMaxHeartbeatMs = 600'000;
   ReadAddress(check, "forwarding", "entry", true, parsed.listen_entry);
   ReadAddress(check, "forwarding", "readiness", true, parsed.listen_readiness);
   ReadAddress(check, "forwarding", "directory", true, parsed.listen_directory);
@@ -236,6 +237,9 @@
   ReadSeconds(check, "retry_window_s", kMaxSeconds, parsed.bounds.retry_window);
   ReadSeconds(check, "max_address_validity_s", kMaxSeconds, parsed.bounds.max_address_validity);
   ReadSeconds(check, "shutdown_grace_s", kMaxSeconds, parsed.bounds.shutdown_grace);
+  std::int64_t heartbeat_ms = core::base::ToMilliseconds(parsed.bounds.server_heartbeat);
+  ReadNumber<std::int64_t>(check, "forwarding", "server_heartbeat_ms", 100, kMaxHeartbeatMs, heartbeat_ms);
+  parsed.bounds.server_heartbeat = std::chrono::milliseconds(heartbeat_ms);
   out.forwarding = std::move(parsed);
 }
 
--- a/tests/core/forwarding/restored_store_test.cc
+++ b/tests/core/forwarding/restored_store_test.cc
@@ -81,10 +81,11 @@
     Run(seconds(2));
   }
 
-  static server_record Server(int i, bool draining = false) {
+  static server_record Server(int i, bool draining = false, std::uint64_t sequence = 1) {
     server_record record = forwarding_fixture::MakeServer("s" + std::to_string(i), "svc", "a");
     record.incarnation = 1;
     record.draining = draining;
+    record.sequence = sequence;
     return record;
   }
 
@@ -194,6 +195,13 @@
     const routing_table_ptr& routing = instances[i]->tables.routing;
     return routing == nullptr ? 0 : routing->version;
   }
+  /// True if an instance sends requests to the server.
+  bool IsUsed(const std::string& id) const {
+    for (std::size_t i = 0; i < kInstances; ++i) {
+      if (UsedServers(i).contains(id)) return true;
+    }
+    return false;
+  }
   /// Returns the ids of the servers that instance `i` sends requests to.
   std::set<std::string> UsedServers(std::size_t i) const {
     std::set<std::string> used;
@@ -260,5 +268,61 @@
   }
 }
 
+// Guards against requests to a server that has left or drains, because the store was restored from a copy in which it
+// is ready, and against a server that is lost because its entry comes only from the copy.
+TEST_CASE("a copy of the store brings back neither a server that has left nor one that drains") {
+  enum class loss { kDrains, kLeaves, kDrainsAndLeaves, kExpires };
+  enum class return_of { kNothing, kEntryLapses, kServerWritesAgain, kServerRestarts };
+  struct row {
+    loss lost;
+    return_of next;
+    bool used_soon;
+    bool used_later;
+  };
+  // The entry of a server that left lapses, unless the server lives and had only been silent.
+  const auto r = GENERATE(values<row>({{loss::kDrains, return_of::kNothing, false, false},
+                                       {loss::kDrains, return_of::kServerRestarts, true, true},
+                                       {loss::kLeaves, return_of::kEntryLapses, false, false},
+                                       {loss::kLeaves, return_of::kNothing, false, true},
+                                       {loss::kLeaves, return_of::kServerWritesAgain, true, true},
+                                       {loss::kLeaves, return_of::kServerRestarts, true, true},
+                                       {loss::kDrainsAndLeaves, return_of::kEntryLapses, false, false},
+                                       {loss::kExpires, return_of::kNothing, false, true}}));
+  INFO("loss " << static_cast<int>(r.lost) << ", then " << static_cast<int>(r.next));
+  restored_store_world world;
+  const store_contents copy = world.store;
+  world.Run(seconds(30));
+  const bool drains = r.lost == loss::kDrains || r.lost == loss::kDrainsAndLeaves;
+  world.store.Write(restored_store_world::Server(1, drains, 2));
+  world.Run(seconds(1));
+  if (r.lost == loss::kExpires) {
+    // Entries that vanish together are doubted, so that the server is still known when the store is restored.
+    for (int i = 0; i < 4; ++i)
+      world.store.Remove("s" + std::to_string(i));
+    world.Run(milliseconds(500));
+  } else {
+    if (r.lost != loss::kDrains) world.store.Remove("s1");
+    world.Run(seconds(4));
+    REQUIRE_FALSE(world.IsUsed("s1"));
+  }
+  world.Restore(copy);
+  world.Run(milliseconds(1'500));
+  CHECK(world.IsUsed("s1") == (r.lost == loss::kExpires));
+  if (r.next == return_of::kServerWritesAgain) world.store.Write(restored_store_world::Server(1, false, 3));
+  if (r.next == return_of::kServerRestarts) {
+    server_record restarted = restored_store_world::Server(1);
+    restarted.incarnation = 2;
+    world.store.Write(restarted);
+  }
+  for (int i = 0; i < 20; ++i) {
+    world.Run(milliseconds(100));
+    CHECK((!world.IsUsed("s1") || r.used_soon || r.lost == loss::kExpires));
+  }
+  CHECK(world.IsUsed("s1") == r.used_soon);
+  if (r.next == return_of::kEntryLapses) world.store.Remove("s1");
+  world.Run(seconds(5));
+  CHECK(world.IsUsed("s1") == r.used_later);
+}
+
 }  // namespace
 }  // namespace limpetrouter::core::forwarding
--- a/tests/core/forwarding/server_table_test.cc
+++ b/tests/core/forwarding/server_table_test.cc
@@ -24,6 +24,7 @@
       server_record record = forwarding_fixture::MakeServer("s" + std::to_string(i), "svc", "a");
       record.revision = revision;
       record.incarnation = incarnation;
+      record.sequence = 7;
       changes.servers.push_back(record);
     }
     Apply(changes);
@@ -38,20 +39,27 @@
   void EndRemovalDoubt() { now += seconds(30); }
 };
 
-// Guards against late writes of an earlier incarnation that restore an old address or end a drain.
-TEST_CASE("records of an earlier incarnation or an older revision are ignored") {
+// Guards against late writes of a server, or of an earlier incarnation, that restore an old address or end a drain.
+TEST_CASE("records of an earlier incarnation, an older statement or an older revision are ignored") {
   table_fixture fixture;
   fixture.Add(1, 5);
   struct row {
     std::uint64_t incarnation;
+    std::uint64_t sequence;
     std::uint64_t revision;
     bool applied;
   };
-  const auto r = GENERATE(values<row>({{4, 100, false}, {5, 5, false}, {5, 100, true}, {6, 100, true}}));
+  const auto r = GENERATE(values<row>({{4, 9, 100, false},
+                                       {5, 7, 5, false},
+                                       {5, 7, 100, true},
+                                       {5, 8, 100, true},
+                                       {5, 6, 100, false},
+                                       {6, 1, 100, true}}));
   published_changes changes = fixture.Changes();
   server_record record = forwarding_fixture::MakeServer("s0", "svc", "a");
   record.address = "10.9.9.9:1";
   record.incarnation = r.incarnation;
+  record.sequence = r.sequence;
   record.revision = r.revision;
   changes.servers.push_back(record);
   fixture.Apply(changes);
@@ -77,10 +85,11 @@
     server_record record = forwarding_fixture::MakeServer("s3", "svc", "a");
     record.revision = fixture.revision;
     record.incarnation = 1;
+    record.sequence = 8;
     back.servers.push_back(record);
     fixture.Apply(back);
     fixture.now += seconds(2);
-    ExpireMissing(fixture.table, fixture.now);
+    UpdateDoubtful(fixture.table, seconds(5), fixture.now);
     CHECK(fixture.Has(3));
     CHECK_FALSE(fixture.Has(4));
     CHECK(ServersOf(fixture.table, base::service_id("svc")).size() == 13);
@@ -91,7 +100,7 @@
     fixture.Remove({3});
     CHECK(fixture.Has(3));
     fixture.now += milliseconds(2'600);
-    ExpireMissing(fixture.table, fixture.now);
+    UpdateDoubtful(fixture.table, seconds(5), fixture.now);
     CHECK_FALSE(fixture.Has(3));
   }
   SECTION("a draining server is removed at once") {
@@ -99,6 +108,7 @@
     server_record record = forwarding_fixture::MakeServer("s3", "svc", "a");
     record.revision = fixture.revision;
     record.incarnation = 1;
+    record.sequence = 8;
     record.draining = true;
     drain.servers.push_back(record);
     fixture.Apply(drain);
--- a/tests/platform/configuration_codec_test.cc
+++ b/tests/platform/configuration_codec_test.cc
@@ -77,6 +77,7 @@
                                        {"10.0.0.9:8080", "nowhere", false},
                                        {"\"service\":\"a\",", "", false},
                                        {"1768958717043", "1768958717043.5", false},
+                                       {"\"seq\":4", "\"seq\":\"4\"", false},
                                        {"}", "", false}}));
   std::string text = valid_entry;
   text.replace(text.find(r.from), r.from.size(), r.to);
@@ -87,6 +88,7 @@
   CHECK(record->id.value == "i-1");
   CHECK(record->revision == 12);
   CHECK(record->incarnation == 1'768'958'717'043);
+  CHECK(record->sequence == 4);
   CHECK(record->warmup_left == std::chrono::milliseconds(1'500));
   CHECK(record->draining == (r.to == "\"draining\""));
 }
--- a/tests/shell/settings_test.cc
+++ b/tests/shell/settings_test.cc
@@ -66,7 +66,8 @@
       "[instance]\nname = 10.0.0.1\ndata_centre = a\n[listen]\nhttp = 10.0.0.1:1\npeer = 10.0.0.1:2\n"
       "[peers]\nseeds = 10.0.0.2:8224,10.0.0.3:8224\nport = 7740\n"
       "[forwarding]\nentry = 10.0.0.1:3\nreadiness = 10.0.0.1:4\ndirectory = 10.0.0.1:5\nstore = 10.9.0.1:6\n"
-      "retry_ratio = 0.25\nretry_window_s = 8\nretry_allowance = 7\nshutdown_grace_s = 2.5\n",
+      "retry_ratio = 0.25\nretry_window_s = 8\nretry_allowance = 7\nshutdown_grace_s = 2.5\n"
+      "server_heartbeat_ms = 900\n",
       "f.ini");
   REQUIRE(read.has_value());
   REQUIRE(read->forwarding.has_value());
@@ -75,6 +76,7 @@
   CHECK(read->forwarding->bounds.retry_window == std::chrono::seconds(8));
   CHECK(read->forwarding->bounds.retry_allowance == 7);
   CHECK(read->forwarding->bounds.shutdown_grace == std::chrono::milliseconds(2'500));
+  CHECK(read->forwarding->bounds.server_heartbeat == std::chrono::milliseconds(900));
   CHECK(read->seeds == std::vector<std::string>{"10.0.0.2:7740", "10.0.0.3:7740"});
 }
 
