Soak: restore the stand-in store from an older copy, and check the configuration at the end

Change: the store states its epoch, can be restored from a copy and refuses watches of revisions that it does not have. The soak restores it while other faults go on, with changes before, within and after the lost part, writes again what was lost, and lets entries of servers that do not run lapse. At the end every instance must have the newest configuration in force. Entries count their writes. Conclusion: tests only.

--- a/tests/forwarding/fleet.py
+++ b/tests/forwarding/fleet.py
@@ -69,6 +69,7 @@
         self.backends, self.proxies = {}, {}
         self.processes, self.expected_exits = {}, set()
         self.version = 0
+        self.configuration = None
         self.next_port = 10000
         self.ips = [f"127.{second_octet}.{1 + i % len(ZONES)}.{1 + i}" for i in range(deployment.instances)]
         self.zones = {ip: ZONES[i % len(ZONES)] for i, ip in enumerate(self.ips)}
@@ -123,10 +124,25 @@
               "targetLatencyMs": 600, "priority": 3, "service": "archive"} for n in self.extra_routes]
         services = [{"name": s, "healthPath": "/health", "maxConns": 80, "protocol": "h1", "tls": False}
                     for s in shards + ["archive"]]
-        return await self.store.put("op/config", {
+        self.configuration = {
             "configVersion": self.version, "routes": routes, "services": services,
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
-                       "idleTimeoutMs": 15000}})
+                       "idleTimeoutMs": 15000}}
+        return await self.store.put("op/config", self.configuration)
+
+    async def write_all_again(self):
+        """Writes what a restored store has lost: the operator's configuration and the entries of live backend servers."""
+        await self.store.put("op/config", self.configuration)
+        for backend in list(self.backends.values()):
+            if backend.state != "crashed":
+                await self.store.put("servers/" + backend.id, backend.registry_entry())
+
+    async def remove_expired_entries(self):
+        """Removes the entries of backend servers that do not run."""
+        for key in [key for key in self.store.items if key.startswith("servers/")]:
+            backend = self.backends.get(key.removeprefix("servers/"))
+            if backend is None or backend.state == "crashed":
+                await self.store.put(key, None)
 
     def start_instance(self, ip):
         path = os.path.join(self.directory, ip + ".ini")
@@ -169,6 +185,15 @@
         process.kill()
         process.wait()
 
+    async def check_configuration(self):
+        """Every instance must have the newest configuration in force."""
+        for ip in self.processes:
+            request = f"GET /v1/status/forwarding HTTP/1.1\r\nHost: {ip}\r\nConnection: close\r\n\r\n".encode()
+            _, _, body = await http_exchange(f"{ip}:{PORTS['control']}", request, 3.0)
+            version = json.loads(body)["routing"]["version"]
+            if version != self.version:
+                raise GuaranteeViolation(f"{ip} has configuration {version} in force, expected {self.version}")
+
     def check_processes(self):
         for ip, process in self.processes.items():
             if ip not in self.expected_exits and process.poll() is not None:
--- a/tests/forwarding/soak.py
+++ b/tests/forwarding/soak.py
@@ -26,6 +26,8 @@
 RECOVERY_SECONDS = 12.0
 # Share of requests that must be answered with 200 once the fleet has recovered.
 RECOVERED_SHARE = 0.97
+# Entries of backend servers that do not run expire this long after the store was restored from a copy with them.
+ENTRY_LIFETIME_SECONDS = 3.6
 
 
 class Soak:
@@ -108,6 +110,29 @@
         await asyncio.sleep(seconds)
         store.mode, store.delay_s, store.refused_ips = "up", 0.0, set()
 
+    async def store_restored(self):
+        store, age, away, write_delay = (self.fleet.store, random.uniform(0.3, 6.0), random.uniform(0.0, 2.0),
+                                         random.uniform(0.0, 1.0))
+        copy = store.copy()
+        await self.publish_configuration()
+        await asyncio.sleep(age)
+        self.add_disturbance(away + write_delay + ENTRY_LIFETIME_SECONDS)
+        store.mode = random.choice(("unresponsive", "reset", "unavailable"))
+        await asyncio.sleep(away)
+        await store.restore(copy)
+        self.log_event(f"store restored from a copy {age:.1f} s old, after {away:.1f} s; written again within "
+                       f"{write_delay:.1f} s")
+        # Some of what was lost may be written again before instances reach the store.
+        writes_first = random.random() < 0.5
+        if not writes_first:
+            store.mode = "up"
+            await asyncio.sleep(write_delay)
+        await self.publish_configuration()
+        await self.fleet.write_all_again()
+        store.mode = "up"
+        await asyncio.sleep(ENTRY_LIFETIME_SECONDS)
+        await self.fleet.remove_expired_entries()
+
     async def backend_fault(self):
         fault = random.choice(("shed", "reset", "truncate", "duplicate", "error", "unresponsive", "slow"))
         probability, seconds = random.uniform(0.05, 0.6), random.uniform(0.5, 4.0)
@@ -169,8 +194,8 @@
 
     async def run_faults(self, seconds):
         """Injects faults in random order for `seconds`. Faults may overlap."""
-        actions = [self.kill, self.pause, self.terminate, self.send_sighup, self.store_fault, self.backend_fault,
-                   self.backend_fault, self.backend_crash, self.drain, self.connection_fault,
+        actions = [self.kill, self.pause, self.terminate, self.send_sighup, self.store_fault, self.store_restored,
+                   self.backend_fault, self.backend_fault, self.backend_crash, self.drain, self.connection_fault,
                    self.publish_configuration]
         running = set()
         end = time.monotonic() + seconds
@@ -222,6 +247,7 @@
         await asyncio.sleep(0.5)
         fleet.check_processes()
         check_executions(fleet, client)
+        await fleet.check_configuration()
         soak.check_drains()
         recovered = [r for r in client.results if r["begin"] >= recovered_from]
         served = sum(1 for r in recovered if r["status"] == 200)
--- a/tests/forwarding/standins.py
+++ b/tests/forwarding/standins.py
@@ -80,6 +80,8 @@
         self.history = []
         self.compacted_revision = 0
         self.revision = 1
+        # Rises by one when the store is restored from an older copy, after which it gives out revisions again.
+        self.epoch = 1
         self.items_changed = asyncio.Condition()
         self.mode = "up"
         self.delay_s = 0.0
@@ -113,6 +115,18 @@
         self.history.clear()
         self.compacted_revision = self.revision
 
+    def copy(self):
+        """Returns a copy of the contents for `restore`."""
+        return dict(self.items), list(self.history), self.compacted_revision, self.revision
+
+    async def restore(self, copy):
+        """Goes back to an earlier copy of the contents. Everything that was written since is lost."""
+        items, history, self.compacted_revision, self.revision = copy
+        self.items, self.history = dict(items), list(history)
+        self.epoch += 1
+        async with self.items_changed:
+            self.items_changed.notify_all()
+
     def events_after(self, prefix, after):
         return [e for e in self.history if e["revision"] > after and e["key"].startswith(prefix)]
 
@@ -128,7 +142,7 @@
             if self.mode == "reset" or (self.mode == "lossy" and random.random() < 0.4):
                 return reset(writer)
             if self.mode == "unavailable" or peer in self.refused_ips:
-                answer = encode_answer(503, [], b"{}")
+                answer = self.json(503, {})
             else:
                 answer = await self.answer(request[1])
             try:
@@ -150,7 +164,7 @@
             after = int(query["after"])
             end = time.monotonic() + int(query["waitMs"]) / 1000
             while True:
-                if after < self.compacted_revision:
+                if after < self.compacted_revision or after > self.revision:
                     return self.json(410, {})
                 events = self.events_after(prefix, after)
                 remaining = end - time.monotonic()
@@ -163,9 +177,9 @@
                     pass
         return self.json(404, {})
 
-    @staticmethod
-    def json(status, value):
-        return encode_answer(status, [("Content-Type", "application/json")], json.dumps(value).encode())
+    def json(self, status, value):
+        headers = [("Content-Type", "application/json"), ("Store-Era", str(self.epoch))]
+        return encode_answer(status, headers, json.dumps(value).encode())
 
 
 def server_stamp(server_id, service, attempt):
@@ -194,6 +208,7 @@
         self.advertised = advertised or address
         self.events, self.slots, self.service_time_s = events, slots, service_time_s
         self.start_time_ms = int(time.time() * 1000)
+        self.sequence = 0
         self.state = "ready"
         self.free_slots = asyncio.Semaphore(slots)
         self.running = self.waiting = 0
@@ -205,8 +220,9 @@
         self.writers = set()
 
     def registry_entry(self):
+        self.sequence += 1
         return {"service": self.service, "address": self.advertised, "zone": self.zone, "configVersion": "v1",
-                "slots": self.slots, "state": self.state, "coldLeftMs": 0, "seq": 1, "born": self.start_time_ms}
+                "slots": self.slots, "state": self.state, "coldLeftMs": 0, "seq": self.sequence, "born": self.start_time_ms}
 
     async def start(self):
         host, port = self.address.rsplit(":", 1)
