Test of the stated time left: start both transfers on the thread of the pool

Cause: in its second part the test started two transfers from its own thread. If the pool's thread woke up between the two calls, it wrote the first request before the test had delayed it. Change: both are started within the end of a third transfer, which runs on the pool's thread. The check and its bound are as before.

--- a/tests/shell/transfer_pool_test.cc
+++ b/tests/shell/transfer_pool_test.cc
@@ -70,8 +70,13 @@
   } else {
     // A transfer whose deadline has passed ends between the start of the other transfer and its connection.
     blocker.deadline = steady_clock::now();
-    pool.Start(std::move(delayed));
-    pool.Start(std::move(blocker));
+    // Both are started by the thread of the pool, so that it cannot go on between the two calls.
+    transfer_request opener = OpaqueGet(pool, server.Address(), kTimeout);
+    opener.done = [&pool, &delayed, &blocker](transfer_result&&) {
+      pool.Start(std::move(delayed));
+      pool.Start(std::move(blocker));
+    };
+    pool.Start(std::move(opener));
   }
   REQUIRE(Eventually([&ended_transfers] { return ended_transfers == 2; }));
   const std::vector<std::string> requests = server.Requests();
