--- a/tests/core/forwarding/forwarding_world.h
+++ b/tests/core/forwarding/forwarding_world.h
@@ -4,9 +4,11 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "core/forwarding/forwarding.h"
+#include "core/forwarding/publication_spread.h"
 #include "core/forwarding/requests.h"
 #include "core/instance/context.h"
 
@@ -143,4 +145,33 @@
   std::vector<io::reply_forwarded> TakeReplies() { return Take<io::reply_forwarded>(); }
 };
 
+/// Id of the i-th instance of a simulated fleet.
+inline base::instance_id FleetInstanceId(std::size_t i) { return base::instance_id("10.0.0." + std::to_string(i)); }
+
+/// Makes the fixture instance `self` of `count` that know each other and share a data centre. The first two are the
+/// largest, so that they read the platform.
+inline void JoinFleet(forwarding_fixture& fixture, std::size_t self, std::size_t count) {
+  constexpr std::uint32_t kLargest = 1'000;
+  fixture.members.self.ref = {FleetInstanceId(self), base::incarnation_id(1)};
+  fixture.members.self.capacity = kLargest - static_cast<std::uint32_t>(self);
+  for (std::size_t i = 0; i < count; ++i) {
+    if (i == self) continue;
+    membership::member& entry = fixture.members.members[FleetInstanceId(i)];
+    entry.info.member = {FleetInstanceId(i), base::incarnation_id(1)};
+    entry.info.data_centre = fixture.members.self.data_centre;
+    entry.info.peer_address = "p" + std::to_string(i);
+    entry.info.state = peer::member_state::kAlive;
+    entry.info.capacity = kLargest - static_cast<std::uint32_t>(i);
+  }
+}
+
+/// Delivers a message about what the platform publishes.
+inline void ReceivePublication(forwarding_fixture& fixture, const peer::message& message) {
+  instance::context ctx = fixture.Context();
+  if (const auto* request = std::get_if<peer::publication_request>(&message.body); request != nullptr)
+    HandlePublicationRequest(fixture.tables, ctx, message.header, *request);
+  if (const auto* update = std::get_if<peer::publication_update>(&message.body); update != nullptr)
+    HandlePublicationUpdate(fixture.tables, ctx, message.header, *update);
+}
+
 }  // namespace limpetrouter::core::forwarding
--- a/tests/core/forwarding/restored_store_test.cc
+++ b/tests/core/forwarding/restored_store_test.cc
@@ -1,15 +1,12 @@
-#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <utility>
-#include <variant>
 #include <vector>
 
 #include <catch2/catch.hpp>
 
-#include "core/forwarding/publication_spread.h"
 #include "forwarding_world.h"
 
 namespace limpetrouter::core::forwarding {
@@ -89,23 +86,11 @@
     return record;
   }
 
-  static base::instance_id Id(std::size_t i) { return base::instance_id("10.0.0." + std::to_string(i)); }
-
   std::unique_ptr<forwarding_fixture> MakeInstance(std::size_t i) const {
     auto created = std::make_unique<forwarding_fixture>();
     created->now = now;
     created->random.state = base::MixHash(i, 5);
-    created->members.self.ref = {Id(i), base::incarnation_id(1)};
-    created->members.self.capacity = static_cast<std::uint32_t>(1'000 - i);
-    for (std::size_t j = 0; j < kInstances; ++j) {
-      if (j == i) continue;
-      membership::member& entry = created->members.members[Id(j)];
-      entry.info.member = {Id(j), base::incarnation_id(1)};
-      entry.info.data_centre = base::data_centre_id("a");
-      entry.info.peer_address = "p" + std::to_string(j);
-      entry.info.state = peer::member_state::kAlive;
-      entry.info.capacity = static_cast<std::uint32_t>(1'000 - j);
-    }
+    JoinFleet(*created, i, kInstances);
     return created;
   }
 
@@ -176,20 +161,12 @@
     for (std::size_t i = 0; i < kInstances; ++i) {
       for (const io::send_peer& send : instances[i]->Take<io::send_peer>()) {
         for (std::size_t j = 0; j < kInstances; ++j) {
-          if (send.target == Id(j)) Receive(j, send.message);
+          if (send.target == FleetInstanceId(j)) ReceivePublication(*instances[j], send.message);
         }
       }
       instances[i]->out.clear();
     }
   }
-  void Receive(std::size_t j, const peer::message& message) {
-    forwarding_fixture& fixture = *instances[j];
-    instance::context ctx = fixture.Context();
-    if (const auto* request = std::get_if<peer::publication_request>(&message.body); request != nullptr)
-      HandlePublicationRequest(fixture.tables, ctx, message.header, *request);
-    if (const auto* update = std::get_if<peer::publication_update>(&message.body); update != nullptr)
-      HandlePublicationUpdate(fixture.tables, ctx, message.header, *update);
-  }
 
   std::uint64_t VersionOf(std::size_t i) const {
     const routing_table_ptr& routing = instances[i]->tables.routing;
--- a/tests/core/forwarding/store_reader_test.cc
+++ b/tests/core/forwarding/store_reader_test.cc
@@ -152,22 +152,10 @@
   spread_fixture() {
     for (std::size_t i = 0; i < 4; ++i) {
       auto created = std::make_unique<forwarding_fixture>();
-      created->members.self.ref = {Id(i), base::incarnation_id(1)};
-      created->members.self.capacity = static_cast<std::uint32_t>(1'000 - i);
-      for (std::size_t j = 0; j < 4; ++j) {
-        if (j == i) continue;
-        membership::member& entry = created->members.members[Id(j)];
-        entry.info.member = {Id(j), base::incarnation_id(1)};
-        entry.info.data_centre = base::data_centre_id("a");
-        entry.info.peer_address = "p" + std::to_string(j);
-        entry.info.state = peer::member_state::kAlive;
-        entry.info.capacity = static_cast<std::uint32_t>(1'000 - j);
-      }
+      JoinFleet(*created, i, 4);
       instances.push_back(std::move(created));
     }
   }
-  static base::instance_id Id(std::size_t i) { return base::instance_id("10.0.0." + std::to_string(i)); }
-
   /// Instance `i` reads everything up to `at` from the platform.
   void Publish(std::size_t i, std::uint64_t at) {
     forwarding_fixture& fixture = *instances[i];
@@ -198,19 +186,12 @@
     for (std::size_t i = 0; i < instances.size(); ++i) {
       for (const io::send_peer& send : instances[i]->Take<io::send_peer>()) {
         for (std::size_t j = 0; j < instances.size(); ++j) {
-          if (send.target == Id(j) && !unreachable.contains(j) && !unreachable.contains(i)) Receive(j, send.message);
+          if (send.target == FleetInstanceId(j) && !unreachable.contains(j) && !unreachable.contains(i))
+            ReceivePublication(*instances[j], send.message);
         }
       }
     }
   }
-  void Receive(std::size_t j, const peer::message& message) {
-    forwarding_fixture& fixture = *instances[j];
-    instance::context ctx = fixture.Context();
-    if (const auto* request = std::get_if<peer::publication_request>(&message.body); request != nullptr)
-      HandlePublicationRequest(fixture.tables, ctx, message.header, *request);
-    if (const auto* update = std::get_if<peer::publication_update>(&message.body); update != nullptr)
-      HandlePublicationUpdate(fixture.tables, ctx, message.header, *update);
-  }
   bool MustReadPlatform(std::size_t i) {
     instance::context ctx = instances[i]->Context();
     return MustRead(instances[i]->tables, ctx);
