--- a/tests/scenario/forward_world.h
+++ b/tests/scenario/forward_world.h
@@ -56,15 +56,23 @@
   std::vector<held_call> queue;
 };
 
+/// What the platform's store holds.
+struct forward_store {
+  /// Entries of the register, without those that were deleted.
+  std::map<std::string, core::forwarding::server_record> published;
+  core::forwarding::routing_table_ptr routing;
+  std::uint64_t revision = 1;
+};
+
 /// Fakes around forwarding: the platform's register and configuration, backend servers, and calls on their way.
 struct forward_fakes {
   std::map<std::string, forward_route_spec> routes;
   std::vector<forward_load_spec> loads;
   std::map<std::string, forward_server> servers;
-  /// Entries of the register, without those that were deleted.
-  std::map<std::string, core::forwarding::server_record> published;
-  core::forwarding::routing_table_ptr routing;
-  std::uint64_t revision = 1;
+  forward_store store;
+  /// The copy that the store is restored from.
+  forward_store copy;
+  std::uint64_t epoch = 1;
   std::uint64_t next_run = 1;
   std::uint64_t next_request = 1;
   /// Calls without an end, by instance and life.
--- a/tests/scenario/script.cc
+++ b/tests/scenario/script.cc
@@ -259,6 +259,10 @@
        [](world& w, const words& l) { ForForwardServers(w, l, [&](const auto& id) { w.StartForwardServer(id); }); }},
       {"server-drain",
        [](world& w, const words& l) { ForForwardServers(w, l, [&](const auto& id) { w.DrainForwardServer(id); }); }},
+      {"server-writes",
+       [](world& w, const words& l) { ForForwardServers(w, l, [&](const auto& id) { w.PublishServer(id); }); }},
+      {"store-copied", [](world& w, const words&) { w.CopyForwardStore(); }},
+      {"store-restored", [](world& w, const words&) { w.RestoreForwardStore(); }},
       {"server-silent",
        [](world& w, const words& l) {
          ForForwardServers(w, l, [&](const auto& id) { w.ForwardServer(id).silent = true; });
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -108,6 +108,11 @@
   /// Starts it again with a new incarnation.
   void StartForwardServer(const std::string& id);
   void DrainForwardServer(const std::string& id);
+  /// Keeps a copy of the platform's store, which `RestoreForwardStore` goes back to.
+  void CopyForwardStore();
+  void RestoreForwardStore();
+  /// The backend server writes its entry once more.
+  void PublishServer(const std::string& id);
   const forward_fakes& forwarding() const { return forward_; }
 
   trace& record() { return trace_; }
@@ -188,7 +193,6 @@
 
   // Forwarded requests (world_forwarding.cc).
   bool ExecuteForwarding(process& p, core::io::command& command);
-  void PublishServer(const std::string& id);
   void UnpublishServer(const std::string& id, std::uint64_t incarnation);
   core::forwarding::published_changes PublishedAll() const;
   void ListPublished(process& p, std::uint64_t read);
--- a/tests/scenario/world_forwarding.cc
+++ b/tests/scenario/world_forwarding.cc
@@ -50,7 +50,7 @@
 void world::AddForwardRoute(const forward_route_spec& spec) {
   forward_.routes[spec.name] = spec;
   auto table = std::make_shared<fwd::routing_table>();
-  if (forward_.routing != nullptr) *table = *forward_.routing;
+  if (forward_.store.routing != nullptr) *table = *forward_.store.routing;
   ++table->version;
   fwd::route made;
   made.name = spec.name;
@@ -89,8 +89,8 @@
     }
   }
   table->routes.push_back(std::move(made));
-  forward_.routing = table;
-  ++forward_.revision;
+  forward_.store.routing = table;
+  ++forward_.store.revision;
   for (auto& [id, p] : processes_)
     p.core->forwarding.enabled = true;
 }
@@ -108,23 +108,31 @@
 
 void world::PublishServer(const std::string& id) {
   fwd::server_record& record = forward_.servers.at(id).record;
-  record.revision = ++forward_.revision;
-  forward_.published[id] = record;
+  record.revision = ++forward_.store.revision;
+  ++record.sequence;
+  forward_.store.published[id] = record;
 }
 
 void world::UnpublishServer(const std::string& id, std::uint64_t incarnation) {
-  const auto found = forward_.published.find(id);
-  if (found == forward_.published.end() || found->second.incarnation != incarnation) return;
-  forward_.published.erase(found);
-  ++forward_.revision;
+  const auto found = forward_.store.published.find(id);
+  if (found == forward_.store.published.end() || found->second.incarnation != incarnation) return;
+  forward_.store.published.erase(found);
+  ++forward_.store.revision;
+}
+
+void world::CopyForwardStore() { forward_.copy = forward_.store; }
+
+void world::RestoreForwardStore() {
+  forward_.store = forward_.copy;
+  ++forward_.epoch;
 }
 
 fwd::published_changes world::PublishedAll() const {
   fwd::published_changes changes;
   changes.complete = true;
-  changes.position.revision = forward_.revision;
-  changes.routing = forward_.routing;
-  for (const auto& [id, record] : forward_.published)
+  changes.position = {forward_.epoch, forward_.store.revision};
+  changes.routing = forward_.store.routing;
+  for (const auto& [id, record] : forward_.store.published)
     changes.servers.push_back(record);
   return changes;
 }
@@ -148,11 +156,15 @@
       Deliver(id, life, io::published_read_failed{{watch.read, false, "store is down", 0}});
       return true;
     }
-    if (forward_.revision <= watch.after && now_ < give_up) return false;
+    if (forward_.store.revision < watch.after) {
+      Deliver(id, life, io::published_read_failed{{watch.read, true, "no such revision", forward_.epoch}});
+      return true;
+    }
+    if (forward_.store.revision == watch.after && now_ < give_up) return false;
     // Deletions are told as a whole list, which is what a watch that lost its history gets.
     fwd::published_changes changes;
-    changes.position.revision = forward_.revision;
-    if (forward_.revision > watch.after) changes = PublishedAll();
+    changes.position = {forward_.epoch, forward_.store.revision};
+    if (forward_.store.revision > watch.after) changes = PublishedAll();
     changes.read = watch.read;
     Deliver(id, life, io::published_read{std::move(changes)});
     return true;
