--- a/tests/forwarding/fleet.py
+++ b/tests/forwarding/fleet.py
@@ -189,7 +189,10 @@
         """Every instance must have the newest configuration in force."""
         for ip in self.processes:
             request = f"GET /v1/status/forwarding HTTP/1.1\r\nHost: {ip}\r\nConnection: close\r\n\r\n".encode()
-            _, _, body = await http_exchange(f"{ip}:{PORTS['control']}", request, 3.0)
+            try:
+                _, _, body = await http_exchange(f"{ip}:{PORTS['control']}", request, 3.0)
+            except (OSError, asyncio.TimeoutError) as failure:
+                raise GuaranteeViolation(f"{ip} did not state its configuration within 3 s: {failure!r}") from failure
             version = json.loads(body)["routing"]["version"]
             if version != self.version:
                 raise GuaranteeViolation(f"{ip} has configuration {version} in force, expected {self.version}")
