Use low rate limits of servers in turns, so that sharded requests find all shards at once

Callers were refused although servers in need still accepted a part of the load: with a low limit on all servers of a sharded route, nearly no request reached its coverage. Cause: an instance whose share is less than one call a second could use a call only within one second of its due time, and due times of different servers were independent. A sharded request needs most shards at the same time. Ruled out: the share itself (18 of 20 calls are granted over time), hedges (never sent to such servers). Change: shares of less than one call in two seconds are used in turns. In a turn, an instance may call the servers of the same rank in all services. Turns of different instances begin at different times, and a fifth of the limit is left unused for those that coincide. Calls of a larger share no longer lapse one by one. The test of the rule has rows for low limits and 100 instances; in two of them, first calls of instances that have not seen the limit do not count, as the rule says.

--- a/core/forwarding/request_calls.cc
+++ b/core/forwarding/request_calls.cc
@@ -113,7 +113,7 @@
   started.started = ctx.now;
   tables.calls.emplace(id, started);
   NoteCallStart(target, {id, ctx.now, TypicalLatency(tables, *request.route)});
-  TakeLimitedCall(target, tables.servers.limit_share, purpose != send_purpose::kFirst, ctx.now);
+  TakeLimitedCall(tables.servers, target, purpose != send_purpose::kFirst, ctx.now);
   if (purpose != send_purpose::kFirst) {
     ++(purpose == send_purpose::kHedge ? request.hedges : request.retries);
     LogRequest(tables.history, ctx, request.content->attempt, purpose == send_purpose::kHedge ? "hedge" : "retry",
--- a/core/forwarding/request_outcome.cc
+++ b/core/forwarding/request_outcome.cc
@@ -29,8 +29,7 @@
     if (part.result.has_value()) continue;
     for (const base::backend_server_id& id : ServersOf(tables.servers, part.service)) {
       const server& each = tables.servers.servers.at(id);
-      const base::time_point possible =
-          std::max(each.ejected_until, NextCallTime(each, tables.servers.limit_share, now));
+      const base::time_point possible = std::max(each.ejected_until, NextCallTime(tables.servers, each, now));
       if (possible > now && (!earliest.has_value() || possible < *earliest)) earliest = possible;
     }
   }
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -79,8 +79,7 @@
   } else if (result.failure == error_kind::kConnectionLost) {
     NoteLostCall(target, {ended.fingerprint, ended.started, ctx.now, EstimateOtherWork(target, ctx.now)});
   }
-  if (result.rate_limit.has_value())
-    NoteRateLimit(target, ctx, *result.rate_limit, ended.started, tables.servers.limit_share);
+  if (result.rate_limit.has_value()) NoteRateLimit(tables.servers, target, ctx, *result.rate_limit, ended.started);
   if (result.keep_alive.has_value()) target.max_idle = *result.keep_alive;
   if (result.failure == error_kind::kBackendReplaced && !target.misdirected) {
     target.misdirected = true;
--- a/core/forwarding/server_choice.cc
+++ b/core/forwarding/server_choice.cc
@@ -133,7 +133,7 @@
       if (best.state == choice_state::kNone || best.state == choice_state::kLimited) best.state = choice_state::kFull;
       continue;
     }
-    if (NextCallTime(each, table.limit_share, now) > now) {
+    if (NextCallTime(table, each, now) > now) {
       if (best.state == choice_state::kNone) best.state = choice_state::kLimited;
       continue;
     }
--- a/core/forwarding/server_table.h
+++ b/core/forwarding/server_table.h
@@ -118,6 +118,8 @@
   std::uint64_t removals_since = 0;
   /// This instance's share of each rate limit that a server states for all instances together, from 0 to 1.
   double limit_share = 1;
+  /// Differs between instances, so that they use their shares of low limits at different times.
+  std::uint64_t limit_seed = 0;
 };
 
 /// One change of the table, for the log.
--- a/tests/core/forwarding/rate_limit_test.cc
+++ b/tests/core/forwarding/rate_limit_test.cc
@@ -21,6 +21,8 @@
 constexpr base::duration kRuleWindow = seconds(4);
 constexpr double kTolerance = 1.5;
 constexpr double kExtraRequests = 5;
+/// The rule counts calls of instances that had passed on an answer with the limit this long before.
+constexpr base::duration kNoticeTime = milliseconds(500);
 
 /// Simulates instances that know each other, and servers that state limits. Callers send requests to random instances.
 struct limit_world {
@@ -30,10 +32,17 @@
     io::start_call call;
     base::time_point ends;
   };
+  struct arrival {
+    base::time_point at;
+    /// True if the calling instance had known the limit for `kNoticeTime`.
+    bool informed;
+  };
   struct server_state {
     std::optional<double> limit;
     base::time_point limited_since{};
-    std::vector<base::time_point> arrivals;
+    std::vector<arrival> arrivals;
+    /// When each instance first got an answer with the limit.
+    std::map<std::size_t, base::time_point> informed;
   };
 
   std::vector<std::unique_ptr<forwarding_fixture>> instances;
@@ -122,7 +131,9 @@
 
   void Collect(std::size_t i) {
     for (io::start_call& call : instances[i]->TakeCalls()) {
-      servers.at(call.server.value).arrivals.push_back(now);
+      server_state& target = servers.at(call.server.value);
+      const auto told = target.informed.find(i);
+      target.arrivals.push_back({now, told != target.informed.end() && now - told->second >= kNoticeTime});
       const auto spread = static_cast<std::uint64_t>(service_time.count());
       const base::duration time = service_time / 2 + base::duration(base::NextBelow(random, spread));
       pending.push_back({i, incarnations[i], std::move(call), now + time});
@@ -146,22 +157,25 @@
     for (const pending_call& each : ended) {
       if (each.incarnation != incarnations[each.instance]) continue;
       call_result result = forwarding_fixture::Served("0123");
-      const server_state& target = servers.at(each.call.server.value);
+      server_state& target = servers.at(each.call.server.value);
       result.rate_limit = rate_limit_statement{};
-      if (target.limit.has_value()) result.rate_limit->limit = request_rate{*target.limit};
+      if (target.limit.has_value()) {
+        result.rate_limit->limit = request_rate{*target.limit};
+        target.informed.emplace(each.instance, now);
+      }
       instances[each.instance]->End(each.call, std::move(result));
     }
   }
 
   /// Returns the largest number of requests that the server got within one window of the rule since `from`, or since
-  /// its limit has settled if that is later.
-  std::size_t MostArrivals(const std::string& id, base::time_point from = {}) const {
+  /// its limit has settled if that is later. `informed_only` leaves out calls that the rule does not count.
+  std::size_t MostArrivals(const std::string& id, base::time_point from = {}, bool informed_only = false) const {
     const server_state& each = servers.at(id);
     const base::time_point begin = std::max(from, each.limited_since + kSettleTime);
     std::size_t most = 0;
     std::deque<base::time_point> window;
-    for (const base::time_point at : each.arrivals) {
-      if (at < begin) continue;
+    for (const auto& [at, informed] : each.arrivals) {
+      if (at < begin || (informed_only && !informed)) continue;
       window.push_back(at);
       while (at - window.front() > kRuleWindow)
         window.pop_front();
@@ -194,10 +208,17 @@
     std::size_t limited;
     double rate;
     double limit;
+    /// True if instances learn of the limit so late that their first calls, which the rule does not count, matter.
+    bool learn_late = false;
   };
-  // Usual traffic, limits on all servers, a limit below one request a second for each instance, and a large fleet.
-  const auto r =
-      GENERATE(values<row>({{9, 3, 2, 180, 31.8}, {9, 3, 3, 180, 31.8}, {9, 19, 13, 45, 1.25}, {64, 3, 2, 140, 20}}));
+  // Usual traffic, limits on all servers, a limit below one request a second for each instance, and large fleets.
+  const auto r = GENERATE(values<row>({{9, 3, 2, 180, 31.8},
+                                       {9, 3, 3, 180, 31.8},
+                                       {9, 19, 13, 45, 1.25},
+                                       {64, 3, 2, 140, 20},
+                                       {64, 3, 3, 140, 5},
+                                       {100, 3, 3, 140, 2, true},
+                                       {40, 19, 19, 100, 1, true}}));
   INFO(r.instances << " instances, " << r.limited << " of " << r.servers << " servers limited to " << r.limit);
   limit_world world(r.instances, forwarding_fixture::MakeRoute(repeat_policy::kIdempotent),
                     Servers("single", r.servers, 3));
@@ -207,7 +228,7 @@
     world.Limit("single-" + std::to_string(i), r.limit);
   world.Run(seconds(16));
   for (std::size_t i = 0; i < r.limited; ++i)
-    CHECK(static_cast<double>(world.MostArrivals("single-" + std::to_string(i))) <= Allowed(r.limit));
+    CHECK(static_cast<double>(world.MostArrivals("single-" + std::to_string(i), {}, r.learn_late)) <= Allowed(r.limit));
 }
 
 // Guards against a server that gets too many requests because its limit changes, traffic jumps or instances restart
@@ -243,7 +264,8 @@
   world.Run(seconds(12));
   const base::time_point ended = world.now - seconds(4);
   const auto& arrivals = world.servers.at(server).arrivals;
-  const auto recent = std::count_if(arrivals.begin(), arrivals.end(), [ended](auto at) { return at > ended; });
+  const auto recent =
+      std::count_if(arrivals.begin(), arrivals.end(), [ended](const auto& each) { return each.at > ended; });
   CHECK(static_cast<double>(recent) > 0.7 * kUsualRate / 3 * 4);
 }
 
@@ -281,6 +303,39 @@
   CHECK(*std::min_element(world.retry_afters.begin(), world.retry_afters.end()) > milliseconds(0));
 }
 
+// Guards against callers that are all refused although their servers still accept a part of the load: the instances
+// are so many that the share of each is less than one call a second, and a sharded request needs the share of most
+// shards at the same time.
+TEST_CASE("low rate limits on all servers of all shards are used, also by many instances") {
+  struct row {
+    std::size_t instances;
+    std::size_t shards;
+    std::size_t servers;
+    double limit;
+  };
+  const auto r =
+      GENERATE(values<row>({{18, 12, 3, 10}, {18, 12, 3, 4}, {60, 8, 3, 20}, {60, 8, 3, 5}, {60, 0, 11, 3}}));
+  INFO(r.instances << " instances, " << r.shards << " shards, servers limited to " << r.limit);
+  std::vector<server_record> servers;
+  for (std::size_t i = 0; i < std::max<std::size_t>(r.shards, 1); ++i) {
+    for (server_record& each : Servers(r.shards > 0 ? "shard" + std::to_string(i) : "single", r.servers, 3))
+      servers.push_back(std::move(each));
+  }
+  limit_world world(r.instances, forwarding_fixture::MakeRoute(repeat_policy::kIdempotent, r.shards), servers);
+  const double allowed = r.limit * static_cast<double>(r.servers);
+  world.rate = 6 * allowed;
+  world.Run(seconds(2));
+  for (const server_record& each : servers)
+    world.Limit(each.id.value, r.limit);
+  world.Run(seconds(4));
+  world.statuses.clear();
+  constexpr int kSeconds = 20;
+  world.Run(seconds(kSeconds));
+  CHECK(world.statuses[200] >= 0.7 * allowed * kSeconds);
+  for (const server_record& each : servers)
+    CHECK(static_cast<double>(world.MostArrivals(each.id.value)) <= Allowed(r.limit));
+}
+
 // Guards against a limit that an answer from before the limit raises or ends, and against a limit that never ends.
 TEST_CASE("only the answer to a newer call raises or ends a rate limit") {
   struct row {
@@ -297,13 +352,15 @@
                                        {{}, milliseconds(10), {}}}));
   forwarding_fixture fixture;
   instance::context ctx = fixture.Context();
+  server_table table;
+  table.limit_share = 0.5;
   server target;
   const base::time_point stated_at = ctx.now;
-  NoteRateLimit(target, ctx, {request_rate{20}}, stated_at - milliseconds(30), 0.5);
+  NoteRateLimit(table, target, ctx, {request_rate{20}}, stated_at - milliseconds(30));
   ctx.now += milliseconds(50);
   rate_limit_statement statement;
   if (r.stated.has_value()) statement.limit = request_rate{*r.stated};
-  NoteRateLimit(target, ctx, statement, stated_at + r.started, 0.5);
+  NoteRateLimit(table, target, ctx, statement, stated_at + r.started);
   REQUIRE(target.limit.has_value() == r.known.has_value());
   if (r.known.has_value()) CHECK(target.limit->rate.per_second == *r.known);
 }
@@ -315,7 +372,7 @@
   fixture.AddServers(Servers("single", 2, 3));
   instance::context ctx = fixture.Context();
   for (auto& [id, each] : fixture.tables.servers.servers)
-    NoteRateLimit(each, ctx, {request_rate{1'000}}, fixture.now, 1);
+    NoteRateLimit(fixture.tables.servers, each, ctx, {request_rate{1'000}}, fixture.now);
   fixture.now += seconds(1);
   fixture.Send();
   REQUIRE(fixture.TakeCalls().size() == 1);
