Ask any instance for changes if neither the platform nor a reader has confirmed them recently

Instances that read the platform for their data centre went on calling servers that drain, and served an old configuration, for as long as they were cut off from the platform. Cause: a reader asked no other instance, and its followers asked only the readers of their own data centre. Ruled out: the delivery of updates between instances (followers of a reader that is not cut have them within 10 ms). Change: an instance whose data have not been confirmed for 1.9 s asks a live instance chosen at random, every half second, and gets the changes that follow as a follower. Test: 'an instance that is cut off from the platform learns of changes from any other instance' fails before.

--- a/core/forwarding/publication_spread.cc
+++ b/core/forwarding/publication_spread.cc
@@ -80,30 +80,54 @@
   instance::SendToPeer(ctx, id, std::move(update));
 }
 
+/// True if this instance has data, but neither the platform nor another instance has confirmed them recently.
+bool IsOutdated(const forwarding_tables& tables, base::time_point now) {
+  return tables.store.last_success != base::time_point{} && now - tables.store.last_success > kMaxAge;
+}
+
+/// Chooses a live instance at random. Returns nothing if no other instance is known.
+std::optional<base::instance_id> ChooseAnyInstance(const instance::context& ctx) {
+  std::optional<base::instance_id> chosen;
+  std::uint64_t seen = 0;
+  for (const auto& [id, entry] : ctx.members.members) {
+    if (entry.info.state != peer::member_state::kAlive || entry.info.member.incarnation.value == 0) continue;
+    if (base::NextBelow(ctx.random, ++seen) == 0) chosen = id;
+  }
+  return chosen;
+}
+
+/// Returns the reader that this instance follows.
+std::optional<base::instance_id> ChooseReader(publication_spread& spread, const instance::context& ctx) {
+  if (spread.readers.empty()) return std::nullopt;
+  // A reader that has not answered the last request is skipped.
+  if (spread.unanswered_requests > 0) ++spread.reader_offset;
+  return spread
+      .readers[(spread.reader_offset + base::HashBytes(ctx.members.self.ref.id.value)) % spread.readers.size()];
+}
+
 void RequestUpdate(forwarding_tables& tables, instance::context& ctx) {
   publication_spread& spread = tables.spread;
-  if (ctx.now < spread.next_request || spread.readers.empty()) return;
+  if (ctx.now < spread.next_request) return;
+  // All readers of a data centre may be cut off from the platform, so an instance with outdated data asks any instance.
+  const std::optional<base::instance_id> source =
+      IsOutdated(tables, ctx.now) ? ChooseAnyInstance(ctx) : ChooseReader(spread, ctx);
+  if (!source.has_value()) return;
   spread.next_request = ctx.now + kRequestInterval;
-  // A reader that has not answered the last request is skipped.
-  if (spread.unanswered_requests > 0) ++spread.reader_offset;
   ++spread.unanswered_requests;
-  const base::instance_id& reader =
-      spread.readers[(spread.reader_offset + base::HashBytes(ctx.members.self.ref.id.value)) % spread.readers.size()];
   const std::uint64_t version = tables.routing == nullptr ? 0 : tables.routing->version;
-  instance::SendToPeer(ctx, reader, peer::publication_request{tables.store.position, version});
+  instance::SendToPeer(ctx, *source, peer::publication_request{tables.store.position, version});
 }
 
 }  // namespace
 
 bool MustRead(const forwarding_tables& tables, const instance::context& ctx) {
-  return IsReader(tables, ctx) || tables.routing == nullptr || !tables.servers.known ||
-         ctx.now - tables.store.last_success > kMaxAge;
+  return IsReader(tables, ctx) || tables.routing == nullptr || !tables.servers.known || IsOutdated(tables, ctx.now);
 }
 
 void RunSpread(forwarding_tables& tables, instance::context& ctx) {
   publication_spread& spread = tables.spread;
   UpdateReaders(tables, ctx);
-  if (!IsReader(tables, ctx)) RequestUpdate(tables, ctx);
+  if (!IsReader(tables, ctx) || IsOutdated(tables, ctx.now)) RequestUpdate(tables, ctx);
   std::erase_if(spread.followers, [&ctx](const auto& item) { return ctx.now > item.second.expires_at; });
   if (tables.store.position == spread.sent_position) return;
   spread.sent_position = tables.store.position;
--- a/tests/core/forwarding/store_reader_test.cc
+++ b/tests/core/forwarding/store_reader_test.cc
@@ -156,6 +156,16 @@
       instances.push_back(std::move(created));
     }
   }
+  /// Moves instances to another data centre, as seen by all.
+  void Move(const std::set<std::size_t>& moved, const base::data_centre_id& to) {
+    for (std::size_t i = 0; i < instances.size(); ++i) {
+      if (moved.contains(i)) instances[i]->members.self.data_centre = to;
+      for (const std::size_t j : moved) {
+        const auto found = instances[i]->members.members.find(FleetInstanceId(j));
+        if (found != instances[i]->members.members.end()) found->second.info.data_centre = to;
+      }
+    }
+  }
   /// Instance `i` reads everything up to `at` from the platform.
   void Publish(std::size_t i, std::uint64_t at) {
     forwarding_fixture& fixture = *instances[i];
@@ -232,6 +242,30 @@
   CHECK(fixture.MustReadPlatform(2));
 }
 
+// Guards against calls to servers that drain and against old configurations, because an instance that reads the
+// platform for its data centre is cut off from it and asks no other instance.
+TEST_CASE("an instance that is cut off from the platform learns of changes from any other instance") {
+  const bool whole_data_centre_cut = GENERATE(false, true);
+  spread_fixture fixture;
+  std::vector<std::size_t> cut = {0};
+  if (whole_data_centre_cut) {
+    cut = {0, 1};
+    fixture.Move({2, 3}, base::data_centre_id("b"));
+  }
+  for (std::size_t i = 0; i < fixture.instances.size(); ++i)
+    fixture.Publish(i, 5);
+  for (int second = 0; second < 4; ++second) {
+    for (std::size_t i = cut.size(); i < fixture.instances.size(); ++i)
+      fixture.Publish(i, 6 + static_cast<std::uint64_t>(second));
+    fixture.Run(seconds(1));
+  }
+  for (const std::size_t i : cut) {
+    INFO("instance " << i);
+    CHECK(fixture.instances[i]->tables.routing->version >= 8);
+    CHECK(fixture.instances[i]->tables.servers.servers.size() >= 4);
+  }
+}
+
 // Guards against a restarted instance that applies an update meant for its former incarnation, and so skips all earlier
 // changes (seen at the Cooperative, reshard-with-restarts --vary --seed 1051718547918: version 4 was served instead of
 // 11).
