List the store again if the epoch of a first list is not certain

An instance that starts right after the store was restored could keep servers and a configuration that the store had lost, until the store's revisions had passed the lost ones, or for good. A first list may be stale, and its revision was taken for one of the epoch that the answer states, although the contents may be from before the restoration. Change: the epoch of such a list counts as unknown, so that the existing path after a restoration applies: a complete list of the known epoch, from the store or from an instance that reads it, replaces it. Test: 'an instance that starts with a stale list of the former history soon has the restored contents' fails before in all rows.

--- a/core/forwarding/forwarding.cc
+++ b/core/forwarding/forwarding.cc
@@ -75,7 +75,9 @@
 
 void HandlePublished(forwarding_tables& tables, instance::context& ctx, const io::published_read& event) {
   if (!NoteRead(tables.store, ctx, event.changes)) return;
-  Apply(tables, ctx, event.changes);
+  published_changes changes = event.changes;
+  changes.position = tables.store.position;
+  Apply(tables, ctx, changes);
 }
 
 void HandlePublishedFailed(forwarding_tables& tables, instance::context& ctx, const io::published_read_failed& event) {
--- a/core/forwarding/store_reader.cc
+++ b/core/forwarding/store_reader.cc
@@ -115,7 +115,9 @@
   reader.failures = 0;
   reader.last_success = ctx.now;
   if (changes.complete) reader.needs_list = reader.needs_fresh_list = false;
+  const bool epoch_unknown = changes.complete && reader.stale_list && reader.position == store_position{};
   reader.position = changes.position;
+  if (epoch_unknown) reader.position.epoch = 0;
   reader.next_read = changes.complete ? ctx.now : ctx.now + kWatchPause;
   return true;
 }
--- a/core/forwarding/store_reader.h
+++ b/core/forwarding/store_reader.h
@@ -19,7 +19,9 @@
   bool needs_fresh_list = false;
   /// True if the current list may be stale.
   bool stale_list = false;
-  /// Everything up to here is known. Initially zero.
+  /// Everything up to here is known. Initially zero. The epoch of a first list that may be stale is not known: the list
+  /// may show the history before a restoration although it states the new epoch. It counts as zero, so that the store is
+  /// listed again as after a restoration.
   store_position position;
   /// Latest epoch of the store that an answer stated. If it is later than that of `position`, the store was restored
   /// and must be listed again.
@@ -36,7 +38,7 @@
 void RunReader(store_reader& reader, instance::context& ctx);
 /// Handles the end of a successful read, which may have found no changes. Returns false if the result must not be
 /// applied: the read had been given up, more is known already, or the store was restored and its complete state is
-/// needed.
+/// needed. Otherwise the result is to be applied as of `reader.position`.
 bool NoteRead(store_reader& reader, instance::context& ctx, const published_changes& changes);
 void NoteReadFailed(store_reader& reader, instance::context& ctx, const published_read_failed& failed);
 /// Records an update from another instance, which read the platform up to `position`, `age` ago. Returns false if the
--- a/tests/core/forwarding/restored_store_test.cc
+++ b/tests/core/forwarding/restored_store_test.cc
@@ -1,5 +1,6 @@
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -60,6 +61,8 @@
   std::map<std::size_t, base::time_point> watch_ends;
   store_contents store;
   std::uint64_t epoch = 1;
+  /// What reads that may be stale show, if it differs from `store`.
+  std::optional<store_contents> stale;
   /// Instances that cannot reach the store. Their reads end without an answer, or, if `silent`, do not end.
   std::set<std::size_t> cut;
   bool silent = false;
@@ -94,6 +97,11 @@
     return created;
   }
 
+  void Restart(std::size_t i) {
+    instances[i] = MakeInstance(i);
+    watches.erase(i);
+    newest[i] = 0;
+  }
   void CutAll() { cut = {0, 1, 2, 3}; }
   void Restore(const store_contents& copy) {
     store = copy;
@@ -126,7 +134,7 @@
       if (cut.contains(i)) {
         EndUnanswered(i, list.read);
       } else {
-        EndRead(i, list.read, store.ChangesAfter(0));
+        EndRead(i, list.read, (list.stale_allowed && stale.has_value() ? *stale : store).ChangesAfter(0));
       }
     }
     for (const io::watch_published& watch : fixture.Take<io::watch_published>()) {
@@ -245,6 +253,38 @@
   }
 }
 
+// Guards against an instance that starts right after a restoration and keeps what the store had lost: its first read
+// may be stale, states the new epoch and shows the former history.
+TEST_CASE("an instance that starts with a stale list of the former history soon has the restored contents") {
+  // Revisions that the store has given out since its restoration, and how many instances start.
+  const int written = GENERATE(2, 12);
+  const std::size_t started = GENERATE(as<std::size_t>{}, 1, 2, 4);
+  INFO("revisions " << written << ", instances " << started);
+  restored_store_world world;
+  const store_contents copy = world.store;
+  world.store.Configure(4);
+  for (int i = 0; i < 5; ++i)
+    world.store.Write(restored_store_world::Server(6 + i));
+  world.Run(seconds(2));
+  world.stale = world.store;
+  world.Restore(copy);
+  world.store.Configure(9);
+  while (world.store.revision < copy.revision + static_cast<std::uint64_t>(written))
+    world.store.Write(restored_store_world::Server(0));
+  for (std::size_t i = 0; i < started; ++i)
+    world.Restart(i);
+  world.Run(seconds(3));
+  for (std::size_t i = 0; i < restored_store_world::kInstances; ++i) {
+    INFO("instance " << i);
+    CHECK(world.VersionOf(i) == 9);
+  }
+  world.Run(seconds(2));
+  for (std::size_t i = 0; i < restored_store_world::kInstances; ++i) {
+    INFO("instance " << i);
+    CHECK(world.UsedServers(i) == std::set<std::string>{"s0", "s1", "s2", "s3", "s4", "s5"});
+  }
+}
+
 // Guards against requests to a server that has left or drains, because the store was restored from a copy in which it
 // is ready, and against a server that is lost because its entry comes only from the copy.
 TEST_CASE("a copy of the store brings back neither a server that has left nor one that drains") {
