A starting instance that is no reader reads the platform once

The start of a fleet costs several reads an instance: all of them watch the platform until the first configuration is written, and each takes itself for a reader until it knows the others. Cause: an instance without a configuration read the platform itself, whatever it had read before, and readers did not answer instances while there was no configuration. Change: an instance with recent data reads on only if it is a reader, after half a second in which it learns of the others. Readers answer also while there is no configuration.

--- a/core/forwarding/publication_spread.cc
+++ b/core/forwarding/publication_spread.cc
@@ -17,6 +17,8 @@
 /// the first one is detected.
 constexpr std::size_t kReaderCount = 2;
 constexpr base::duration kRequestInterval = milliseconds(500);
+/// A starting instance knows few others, so that it would take itself for a reader for this time.
+constexpr base::duration kSettleTime = milliseconds(500);
 /// Data that is older than this may lack a change that must be in force: a reader's watch takes 1.5 s in normal
 /// operation, and about 3 s are allowed until a change is in force.
 constexpr base::duration kMaxAge = milliseconds(1'900);
@@ -121,11 +123,13 @@
 }  // namespace
 
 bool MustRead(const forwarding_tables& tables, const instance::context& ctx) {
-  return IsReader(tables, ctx) || tables.routing == nullptr || !tables.servers.known || IsOutdated(tables, ctx.now);
+  if (tables.store.last_success == base::time_point{} || IsOutdated(tables, ctx.now)) return true;
+  return IsReader(tables, ctx) && ctx.now - tables.spread.started >= kSettleTime;
 }
 
 void RunSpread(forwarding_tables& tables, instance::context& ctx) {
   publication_spread& spread = tables.spread;
+  if (spread.started == base::time_point{}) spread.started = ctx.now;
   UpdateReaders(tables, ctx);
   if (!IsReader(tables, ctx) || IsOutdated(tables, ctx.now)) RequestUpdate(tables, ctx);
   std::erase_if(spread.followers, [&ctx](const auto& item) { return ctx.now > item.second.expires_at; });
@@ -139,7 +143,7 @@
 void HandlePublicationRequest(forwarding_tables& tables, instance::context& ctx, const peer::message_header& header,
                               const peer::publication_request& request) {
   // An instance without data sends no answer, so that the follower asks another reader.
-  if (!tables.enabled || tables.store.last_success == base::time_point{} || tables.routing == nullptr) return;
+  if (!tables.enabled || tables.store.last_success == base::time_point{}) return;
   follower& target = tables.spread.followers[header.sender.id];
   target = {request.position, request.routing_version, ctx.now + kFollowerTime};
   SendUpdate(tables, ctx, header.sender.id, target);
--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -95,6 +95,7 @@
 /// data centre.
 struct publication_spread {
   std::vector<base::instance_id> readers;
+  base::time_point started{};
   std::uint64_t members_version = 0;
   bool leaving = false;
   /// Selects the reader that is asked next, and counts the requests that were sent since the last update.
--- a/core/forwarding/store_reader.h
+++ b/core/forwarding/store_reader.h
@@ -20,8 +20,8 @@
   /// True if the current list may be stale.
   bool stale_list = false;
   /// Everything up to here is known. Initially zero. The epoch of a first list that may be stale is not known: the list
-  /// may show the history before a restoration although it states the new epoch. It counts as zero, so that the store is
-  /// listed again as after a restoration.
+  /// may show the history before a restoration although it states the new epoch. It counts as zero, so that the store
+  /// is listed again as after a restoration.
   store_position position;
   /// Latest epoch of the store that an answer stated. If it is later than that of `position`, the store was restored
   /// and must be listed again.
