One instance of a data centre reads the platform, and a second one stands by

Cause: both readers were needed, because followers could not tell a reader that is cut off from a calm platform. Followers asked every half second, so that their data could be 1.95 s old, and 1.9 s count as outdated. Change: the reader passes each of its reads on to its followers, also without changes. The second instance asks four times a second, and reads while the reader does not answer two requests or states data of more than 1.7 s, which no watch in normal operation has. Followers turn to it for the same reasons. Only own reads are passed on as confirmations, so that an age is never understated by more than the time of one message. Test: 'one instance of a data centre reads the platform, and the next one only in its place' fails before (two readers). 'changes are known in time while the reader of a data centre fails' plays a reader that is stopped, cut off, or cut off with a silent watch, and changes 1 ms to 6 s later: known by all within 2.6 s.

--- a/core/forwarding/publication_spread.cc
+++ b/core/forwarding/publication_spread.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <string>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -12,15 +13,23 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
-/// Number of instances of a data centre that read the platform. The second one serves the followers until the loss of
-/// the first one is detected.
+/// Number of readers of a data centre. The first one reads the platform. The second one stands by: it reads while the
+/// first one does not answer or is cut off from the platform, and serves the followers meanwhile.
 constexpr std::size_t kReaderCount = 2;
 constexpr base::duration kRequestInterval = milliseconds(500);
+/// The reader that stands by asks more often, so that it reads before the followers turn to it.
+constexpr base::duration kStandbyInterval = milliseconds(250);
+constexpr std::uint32_t kMaxUnansweredByStandby = 2;
+/// The reader that stands by reads for this time after the reader has shown that it is cut off from the platform.
+constexpr base::duration kStandbyHoldTime = seconds(1);
+/// A reader whose data are older than this is cut off from the platform: a watch ends after 1.5 s at most.
+constexpr base::duration kMaxReaderAge = milliseconds(1'700);
 /// A starting instance knows few others, so that it would take itself for a reader for this time.
 constexpr base::duration kSettleTime = milliseconds(500);
-/// Data that is older than this may lack a change that must be in force: a reader's watch takes 1.5 s in normal
-/// operation, and about 3 s are allowed until a change is in force.
+/// Data that is older than this may lack a change that must be in force: about 3 s are allowed until a change is in
+/// force.
 constexpr base::duration kMaxAge = milliseconds(1'900);
 /// A follower that has not sent a request for this long gets no more updates.
 constexpr base::duration kFollowerTime = milliseconds(1'700);
@@ -52,17 +61,63 @@
   return readers;
 }
 
-void UpdateReaders(forwarding_tables& tables, const instance::context& ctx) {
+spread_role ChooseRole(const publication_spread& spread, const base::instance_id& self) {
+  for (std::size_t i = 0; i < spread.readers.size(); ++i) {
+    if (spread.readers[i] == self) return i == 0 ? spread_role::kReader : spread_role::kStandby;
+  }
+  return spread_role::kFollower;
+}
+
+std::string ToString(spread_role role) {
+  switch (role) {
+    case spread_role::kReader:
+      return "reader";
+    case spread_role::kStandby:
+      return "standby";
+    case spread_role::kFollower:
+      break;
+  }
+  return "follower";
+}
+
+void UpdateReaders(forwarding_tables& tables, instance::context& ctx) {
   publication_spread& spread = tables.spread;
   if (spread.members_version == ctx.members.version && !spread.readers.empty() && spread.leaving == ctx.leaving) return;
   spread.members_version = ctx.members.version;
   spread.leaving = ctx.leaving;
-  spread.readers = ChooseReaders(ctx);
+  std::vector<base::instance_id> readers = ChooseReaders(ctx);
+  if (readers == spread.readers) return;
+  spread.readers = std::move(readers);
+  spread.reader_offset = 0;
+  spread.reader_outdated_at = {};
+  spread.role = ChooseRole(spread, ctx.members.self.ref.id);
+  instance::LogDecision(ctx, "store_role",
+                        {{"role", ToString(spread.role)},
+                         {"reader", spread.readers.empty() ? "" : spread.readers[0].value},
+                         {"data_age_ms", std::to_string(base::ToMilliseconds(ctx.now - tables.store.last_success))}});
 }
 
-bool IsReader(const forwarding_tables& tables, const instance::context& ctx) {
-  const auto& readers = tables.spread.readers;
-  return std::find(readers.begin(), readers.end(), ctx.members.self.ref.id) != readers.end();
+/// True if this instance stands by and the reader does not answer or is cut off from the platform.
+bool ReplacesReader(const forwarding_tables& tables, base::time_point now) {
+  const publication_spread& spread = tables.spread;
+  if (spread.role != spread_role::kStandby) return false;
+  const bool reader_cut_off =
+      spread.reader_outdated_at != base::time_point{} && now - spread.reader_outdated_at < kStandbyHoldTime;
+  return reader_cut_off || spread.unanswered_requests >= kMaxUnansweredByStandby ||
+         now - tables.store.last_success > kMaxReaderAge;
+}
+
+/// Logs when this instance begins and ends to read in place of the reader.
+void NoteReplacement(forwarding_tables& tables, instance::context& ctx) {
+  publication_spread& spread = tables.spread;
+  const bool replaces = ReplacesReader(tables, ctx.now);
+  if (replaces == spread.replaces_reader) return;
+  spread.replaces_reader = replaces;
+  instance::LogDecision(ctx, "store_standby",
+                        {{"reads", replaces ? "true" : "false"},
+                         {"reader", spread.readers.empty() ? "" : spread.readers[0].value},
+                         {"unanswered", std::to_string(spread.unanswered_requests)},
+                         {"data_age_ms", std::to_string(base::ToMilliseconds(ctx.now - tables.store.last_success))}});
 }
 
 /// Sends the follower the changes since the revision that it knows.
@@ -98,13 +153,12 @@
   return chosen;
 }
 
-/// Returns the reader that this instance follows.
-std::optional<base::instance_id> ChooseReader(publication_spread& spread, const instance::context& ctx) {
+/// Returns the reader that this instance follows: the first one, until it does not answer or is cut off.
+std::optional<base::instance_id> ChooseReader(publication_spread& spread) {
   if (spread.readers.empty()) return std::nullopt;
-  // A reader that has not answered the last request is skipped.
+  if (spread.role == spread_role::kStandby) return spread.readers[0];
   if (spread.unanswered_requests > 0) ++spread.reader_offset;
-  return spread
-      .readers[(spread.reader_offset + base::HashBytes(ctx.members.self.ref.id.value)) % spread.readers.size()];
+  return spread.readers[spread.reader_offset % spread.readers.size()];
 }
 
 void RequestUpdate(forwarding_tables& tables, instance::context& ctx) {
@@ -112,9 +166,9 @@
   if (ctx.now < spread.next_request) return;
   // All readers of a data centre may be cut off from the platform, so an instance with outdated data asks any instance.
   const std::optional<base::instance_id> source =
-      IsOutdated(tables, ctx.now) ? ChooseAnyInstance(ctx) : ChooseReader(spread, ctx);
+      IsOutdated(tables, ctx.now) ? ChooseAnyInstance(ctx) : ChooseReader(spread);
   if (!source.has_value()) return;
-  spread.next_request = ctx.now + kRequestInterval;
+  spread.next_request = ctx.now + (spread.role == spread_role::kStandby ? kStandbyInterval : kRequestInterval);
   ++spread.unanswered_requests;
   const std::uint64_t version = tables.routing == nullptr ? 0 : tables.routing->version;
   instance::SendToPeer(ctx, *source, peer::publication_request{tables.store.position, version});
@@ -123,20 +177,26 @@
 }  // namespace
 
 bool MustRead(const forwarding_tables& tables, const instance::context& ctx) {
+  const publication_spread& spread = tables.spread;
   if (tables.store.last_success == base::time_point{} || IsOutdated(tables, ctx.now)) return true;
-  return IsReader(tables, ctx) && ctx.now - tables.spread.started >= kSettleTime;
+  if (ctx.now - spread.started < kSettleTime) return false;
+  return spread.role == spread_role::kReader || ReplacesReader(tables, ctx.now);
 }
 
 void RunSpread(forwarding_tables& tables, instance::context& ctx) {
   publication_spread& spread = tables.spread;
   if (spread.started == base::time_point{}) spread.started = ctx.now;
   UpdateReaders(tables, ctx);
-  if (!IsReader(tables, ctx) || IsOutdated(tables, ctx.now)) RequestUpdate(tables, ctx);
+  NoteReplacement(tables, ctx);
+  if (spread.role != spread_role::kReader || IsOutdated(tables, ctx.now)) RequestUpdate(tables, ctx);
   std::erase_if(spread.followers, [&ctx](const auto& item) { return ctx.now > item.second.expires_at; });
-  if (tables.store.position == spread.sent_position) return;
+  // Each own read is passed on, also without changes, because it confirms the data of the followers.
+  const bool confirmed = tables.store.last_own_success > spread.sent_success;
+  if (tables.store.position == spread.sent_position && !confirmed) return;
   spread.sent_position = tables.store.position;
+  spread.sent_success = tables.store.last_own_success;
   for (auto& [id, target] : spread.followers) {
-    if (target.position < tables.store.position) SendUpdate(tables, ctx, id, target);
+    if (confirmed || target.position < tables.store.position) SendUpdate(tables, ctx, id, target);
   }
 }
 
@@ -150,7 +210,7 @@
 }
 
 std::optional<published_changes> AcceptPublicationUpdate(forwarding_tables& tables, instance::context& ctx,
-                                                         const peer::message_header& /*header*/,
+                                                         const peer::message_header& header,
                                                          const peer::publication_update& update) {
   published_changes changes;
   const std::uint64_t version = tables.routing == nullptr ? 0 : tables.routing->version;
@@ -158,8 +218,13 @@
   const bool fits =
       (update.complete || update.since <= tables.store.position) && update.since_routing_version <= version;
   if (!fits) return std::nullopt;
-  tables.spread.unanswered_requests = 0;
+  publication_spread& spread = tables.spread;
+  spread.unanswered_requests = 0;
   const base::duration age(std::max<std::int64_t>(update.age_us, 0));
+  if (age > kMaxReaderAge) {
+    ++spread.reader_offset;
+    if (!spread.readers.empty() && header.sender.id == spread.readers[0]) spread.reader_outdated_at = ctx.now;
+  }
   if (!NotePeerRead(tables.store, update.position, age, ctx.now)) return std::nullopt;
   changes.complete = update.complete;
   changes.position = update.position;
--- a/core/forwarding/publication_spread.h
+++ b/core/forwarding/publication_spread.h
@@ -8,8 +8,10 @@
 
 namespace limpetrouter::core::forwarding {
 
-/// Few instances of a data centre read the platform; the others follow one of them, so that the number of calls to the
-/// platform does not grow with the fleet. An instance that receives no recent updates reads the platform itself.
+/// One instance of a data centre reads the platform and the others follow it, so that the number of calls to the
+/// platform does not grow with the fleet. A second instance stands by: it reads while the first one does not answer or
+/// is cut off from the platform. An instance that receives no recent updates reads the platform itself and asks any
+/// instance.
 
 /// True if this instance must read the platform now.
 bool MustRead(const forwarding_tables& tables, const instance::context& ctx);
--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -91,19 +91,27 @@
   base::time_point expires_at{};
 };
 
+enum class spread_role : std::uint8_t { kFollower, kReader, kStandby };
+
 /// State of the distribution of what the platform publishes, from the instances that read it to the others of their
 /// data centre.
 struct publication_spread {
+  /// The reader, and the instance that stands by for it.
   std::vector<base::instance_id> readers;
+  spread_role role = spread_role::kFollower;
   base::time_point started{};
   std::uint64_t members_version = 0;
   bool leaving = false;
   /// Selects the reader that is asked next, and counts the requests that were sent since the last update.
   std::size_t reader_offset = 0;
+  /// When the reader last stated data that are so old that it must be cut off from the platform.
+  base::time_point reader_outdated_at{};
+  bool replaces_reader = false;
   std::uint32_t unanswered_requests = 0;
   base::time_point next_request{};
   std::map<base::instance_id, follower> followers;
   store_position sent_position;
+  base::time_point sent_success{};
 };
 
 struct forwarding_tables {
--- a/core/forwarding/store_reader.cc
+++ b/core/forwarding/store_reader.cc
@@ -113,7 +113,7 @@
         {{"failures", std::to_string(reader.failures)}, {"revision", std::to_string(changes.position.revision)}});
   }
   reader.failures = 0;
-  reader.last_success = ctx.now;
+  reader.last_success = reader.last_own_success = ctx.now;
   if (changes.complete) reader.needs_list = reader.needs_fresh_list = false;
   const bool epoch_unknown = changes.complete && reader.stale_list && reader.position == store_position{};
   reader.position = changes.position;
--- a/core/forwarding/store_reader.h
+++ b/core/forwarding/store_reader.h
@@ -32,6 +32,8 @@
   std::uint32_t failures = 0;
   /// When the platform last stated that `position` is the newest one, to this instance or to the one that it follows.
   base::time_point last_success{};
+  /// When a read of this instance last succeeded.
+  base::time_point last_own_success{};
 };
 
 /// Starts the next read if it is due.
--- a/tests/core/forwarding/store_world.h
+++ b/tests/core/forwarding/store_world.h
@@ -66,6 +66,8 @@
   /// Instances that cannot reach the store. Their reads end without an answer, or, if `silent`, do not end.
   std::set<std::size_t> cut;
   bool silent = false;
+  /// Instances that do not run.
+  std::set<std::size_t> stopped;
   std::size_t reads = 0;
   /// Reads that cost a full call. A list that may be stale costs a tenth.
   std::size_t full_reads = 0;
@@ -116,6 +118,7 @@
     for (const base::time_point end = now + time; now < end;) {
       now += milliseconds(5);
       for (std::size_t i = 0; i < count; ++i) {
+        if (stopped.contains(i)) continue;
         forwarding_fixture& fixture = *instances[i];
         fixture.now = now;
         instance::context ctx = fixture.Context();
@@ -175,7 +178,8 @@
     for (std::size_t i = 0; i < count; ++i) {
       for (const io::send_peer& send : instances[i]->Take<io::send_peer>()) {
         for (std::size_t j = 0; j < count; ++j) {
-          if (send.target == FleetInstanceId(j)) ReceivePublication(*instances[j], send.message);
+          if (send.target == FleetInstanceId(j) && !stopped.contains(j))
+            ReceivePublication(*instances[j], send.message);
         }
       }
       instances[i]->out.clear();
