Scenarios: decide at its arrival whether a forwarded call was refused

Trace: the request f209.2 was sent to lookup/4, which crashed before the call arrived; its connection was refused, so that nothing reached it and the request could be sent to two others. The check was wrong: a call counted as unreachable if its server was down when the call was sent, not when it arrived. A server that starts in between was left out although it got the request. It now counts what arrives, which is as strict for the one case and stricter for the other.

--- a/tests/scenario/forward_world.h
+++ b/tests/scenario/forward_world.h
@@ -45,6 +45,8 @@
     std::uint64_t life = 0;
     core::io::start_call call;
     std::uint64_t run = 0;
+    /// Index of the call in the trace.
+    std::size_t traced = 0;
   };
   core::forwarding::server_record record;
   base::duration work{};
--- a/tests/scenario/trace.h
+++ b/tests/scenario/trace.h
@@ -124,7 +124,7 @@
   std::string service;
   std::string server;
   base::instance_id instance;
-  /// It did not reach the server.
+  /// It arrived where the server does not run, and was refused.
   bool unreachable = false;
 };
 
--- a/tests/scenario/world_forwarding.cc
+++ b/tests/scenario/world_forwarding.cc
@@ -203,10 +203,10 @@
   const std::string id = call.server.value;
   const auto found = forward_.servers.find(id);
   if (found == forward_.servers.end()) return;
-  const forward_server::held_call held{p.spec.id, p.life, call, 0};
+  const forward_server::held_call held{p.spec.id, p.life, call, 0, trace_.forward_calls.size()};
   forward_.open.insert({p.spec.id, p.life, call.call.value});
-  trace_.forward_calls.push_back({now_, call.request->attempt, found->second.record.service.value, id,
-                                  base::instance_id(p.spec.id), !found->second.up});
+  trace_.forward_calls.push_back(
+      {now_, call.request->attempt, found->second.record.service.value, id, base::instance_id(p.spec.id), false});
   // The shell gives a call up when its time is over.
   Schedule(call.deadline - now_, [this, held] {
     if (!forward_.open.contains({held.instance, held.life, held.call.call.value})) return;
@@ -220,7 +220,10 @@
 void world::ArriveForwardCall(const std::string& id, forward_server::held_call held) {
   if (!forward_.open.contains({held.instance, held.life, held.call.call.value})) return;
   forward_server& server = forward_.servers.at(id);
-  if (!server.up) return EndForwardCall(held, Failure(error_kind::kConnectFailed, executed_state::kNo), false);
+  if (!server.up) {
+    trace_.forward_calls[held.traced].unreachable = true;
+    return EndForwardCall(held, Failure(error_kind::kConnectFailed, executed_state::kNo), false);
+  }
   if (server.silent) return;
   if (server.running.size() < server.record.slots) return RunForwardCall(server, std::move(held));
   if (server.queue.size() < server.record.slots) return server.queue.push_back(std::move(held));
