--- a/tests/scenario/main.cc
+++ b/tests/scenario/main.cc
@@ -22,6 +22,8 @@
 
 struct options {
   std::string path;
+  /// File with further statements, which are added to those of the scenario.
+  std::string with;
   std::uint64_t seed = 0;
   std::uint64_t mixes = 0;
   std::string golden;
@@ -120,7 +122,7 @@
 
 }  // namespace
 
-// Usage: scenario_runner FILE [--seed N] [--log] [--cells] [--golden FILE [--update]]
+// Usage: scenario_runner FILE [--with FILE] [--seed N] [--log] [--cells] [--golden FILE [--update]]
 //        scenario_runner --mixes COUNT [--seed FIRST] [--cells]
 int main(int argc, char** argv) {
   options options;
@@ -129,6 +131,8 @@
     const bool has_value = i + 1 < argc;
     if (argument == "--seed" && has_value) {
       options.seed = std::strtoull(argv[++i], nullptr, 10);
+    } else if (argument == "--with" && has_value) {
+      options.with = argv[++i];
     } else if (argument == "--mixes" && has_value) {
       options.mixes = std::strtoull(argv[++i], nullptr, 10);
     } else if (argument == "--golden" && has_value) {
@@ -145,11 +149,12 @@
   }
   if (options.mixes > 0) return RunMixes(options);
   const auto text = ReadFile(options.path);
-  if (!text.has_value()) {
+  const auto further = options.with.empty() ? std::string() : ReadFile(options.with);
+  if (!text.has_value() || !further.has_value()) {
     fmt::print(stderr,
-               "usage: scenario_runner FILE [--seed N] [--log] [--cells] [--golden FILE [--update]]\n"
+               "usage: scenario_runner FILE [--with FILE] [--seed N] [--log] [--cells] [--golden FILE [--update]]\n"
                "       scenario_runner --mixes COUNT [--seed FIRST] [--cells]\n");
     return kUsage;
   }
-  return RunText(options.path, *text, options);
+  return RunText(options.path, *text + '\n' + *further, options);
 }
