--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -56,13 +56,18 @@
 void LogCallFailure(forwarding_tables& tables, instance::context& ctx, const active_request& request, const call& ended,
                     const call_result& result) {
   const error_kind kind = result.failure.value_or(error_kind::kBackendFailed);
-  LogRequest(tables.history, ctx, request.content->attempt, "call_failed",
-             {{"service", request.parts[ended.part].service.value},
-              {"backend_server", ended.server.value},
-              {"error", std::string(ToString(kind))},
-              {"executed", std::string(ToString(result.executed))},
-              {"status", std::to_string(result.status)},
-              {"elapsed_ms", std::to_string(base::ToMilliseconds(result.elapsed))}});
+  decision_fields fields = {{"service", request.parts[ended.part].service.value},
+                            {"backend_server", ended.server.value},
+                            {"error", std::string(ToString(kind))},
+                            {"executed", std::string(ToString(result.executed))},
+                            {"status", std::to_string(result.status)},
+                            {"elapsed_ms", std::to_string(base::ToMilliseconds(result.elapsed))}};
+  if (kind == error_kind::kConnectionLost) {
+    // The server may have crashed: these fields show whether requests of the same content lose calls repeatedly.
+    fields.emplace_back("fingerprint", base::ToHex(ended.fingerprint.value));
+    fields.emplace_back("path", request.content->path);
+  }
+  LogRequest(tables.history, ctx, request.content->attempt, "call_failed", std::move(fields));
 }
 
 void NoteServerResult(forwarding_tables& tables, instance::context& ctx, call_id id, const call& ended,
