--- a/tests/scenario/forward_checkers.cc
+++ b/tests/scenario/forward_checkers.cc
@@ -191,4 +191,30 @@
   return report;
 }
 
+property_report CheckForwardCrashes(const world& world) {
+  property_report report{"forwarded crashes", 0, {}};
+  std::map<std::string, const forward_try*> tries;
+  for (const forward_try& made : world.record().forward_tries)
+    tries[made.attempt] = &made;
+  // Each run of such a request crashes its server.
+  std::map<std::pair<std::string, std::string>, std::vector<base::time_point>> crashes;
+  for (const forward_run& run : world.record().forward_runs) {
+    const forward_try& made = *tries.at(run.attempt);
+    if (made.content == kForwardCrashingContent) crashes[{made.route, made.content}].push_back(run.at);
+  }
+  constexpr std::size_t kCrashesToLearn = 3;
+  for (const auto& [request, times] : crashes) {
+    if (times.size() < kCrashesToLearn) continue;
+    ++report.checked;
+    const base::time_point due = times[kCrashesToLearn - 1] + kForwardCrashBound;
+    const auto late = static_cast<std::size_t>(
+        std::count_if(times.begin(), times.end(), [due](base::time_point at) { return at > due; }));
+    if (late <= kForwardMaxCrashRetries) continue;
+    report.violations.push_back(
+        fmt::format("a request of {} crashed {} servers, {} of them later than 4 s after the third", request.first,
+                    times.size(), late));
+  }
+  return report;
+}
+
 }  // namespace limpetrouter::tests::scenario
--- a/tests/scenario/forward_checkers.h
+++ b/tests/scenario/forward_checkers.h
@@ -7,6 +7,11 @@
 /// A backend server that drains takes no call later than this after its entry.
 inline constexpr base::duration kForwardDrainBound = std::chrono::seconds(3);
 
+/// The platform allows this many calls of a request that has crashed three servers, from this time after the third
+/// crash on.
+inline constexpr std::size_t kForwardMaxCrashRetries = 3;
+inline constexpr base::duration kForwardCrashBound = std::chrono::seconds(4);
+
 // One checker for each property of forwarded requests. Each runs over the whole trace.
 
 /// The answer is the caller's own, in time, and from the backend servers that it names.
@@ -20,5 +25,8 @@
 property_report CheckForwardDrain(const world& world);
 /// Repeated sends of all instances together in any window.
 property_report CheckForwardBudget(const world& world);
+/// A request that crashes the servers that run it reaches few servers once instances had time to learn of three
+/// crashes.
+property_report CheckForwardCrashes(const world& world);
 
 }  // namespace limpetrouter::tests::scenario
--- a/tests/scenario/forward_world.h
+++ b/tests/scenario/forward_world.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/forwarding/request_table.h"
@@ -87,6 +88,8 @@
 
 /// The record that a backend server of the service gives for a request: `count` of them for each part.
 std::vector<std::string> ForwardRecords(const std::string& service, const std::string& content);
+/// Content of a request that crashes each server that runs it.
+inline constexpr std::string_view kForwardCrashingContent = "crash";
 inline constexpr std::size_t kForwardRecordBytes = 8;
 inline constexpr std::size_t kForwardMergedRecords = 5;
 
--- a/tests/scenario/world_forwarding.cc
+++ b/tests/scenario/world_forwarding.cc
@@ -23,7 +23,6 @@
 constexpr base::duration kRestartTime = std::chrono::seconds(3);
 /// Tries of a caller for one request.
 constexpr std::uint32_t kMaxTries = 3;
-constexpr std::string_view kCrashingContent = "crash";
 
 std::string ServiceOf(const forward_route_spec& route, std::uint32_t shard) {
   return route.shards == 0 ? route.name : fmt::format("{}-{}", route.name, shard);
@@ -236,7 +235,7 @@
   const std::string id = server.record.id.value;
   trace_.forward_runs.push_back({now_, held.call.request->attempt, server.record.service.value, id});
   server.running.push_back(held);
-  if (content == kCrashingContent) {
+  if (content == kForwardCrashingContent) {
     ++trace_.forward_crashes;
     CrashForwardServer(id);
     Schedule(kRestartTime, [this, id] { StartForwardServer(id); });
@@ -349,7 +348,7 @@
   const double gap = -std::log(std::max(base::NextUnit(random_), 1e-12)) / load.rate;
   Schedule(base::duration(static_cast<std::int64_t>(gap * 1e6)), [this, index] { NextForwardArrival(index); });
   const std::uint64_t request = forward_.next_request++;
-  const std::string content = load.crashes ? std::string(kCrashingContent) : fmt::format("q{}", request);
+  const std::string content = load.crashes ? std::string(kForwardCrashingContent) : fmt::format("q{}", request);
   SendForwardTry(request, load.route, content, now_, 1);
 }
 
