Probe a backend server that has lost a call, so that each crash is noticed

Cause: an instance took a server for crashed only if it connected to the server again within three seconds of the lost call and was refused. A server that has lost a call is avoided for that time, and with many servers and few calls hardly any instance came back before the server ran again. Detection was left to chance. Class of fault: evidence is collected only as a by-product of traffic that the same evidence keeps away.

Why this works: the instance that lost the call opens a connection at once. A process that has ended refuses it, so that the crash is known within a round trip, and the server is not offered to other requests either.

--- a/core/forwarding/messages.h
+++ b/core/forwarding/messages.h
@@ -18,6 +18,9 @@
 /// Identifies a call to a backend server within this process. Ids are never reused.
 using call_id = base::strong_id<struct call_id_tag, std::uint64_t>;
 
+/// Identifies a probe of a backend server within this process. Ids are never reused.
+using probe_id = base::strong_id<struct probe_id_tag, std::uint64_t>;
+
 using header_fields = std::vector<std::pair<std::string, std::string>>;
 
 /// A caller's request, which is forwarded unchanged.
--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -84,6 +84,13 @@
 inline bool IsIdempotent(const active_request& request) { return request.route->repeat == repeat_policy::kIdempotent; }
 inline bool IsSharded(const active_request& request) { return !request.route->shards.empty(); }
 
+/// A probe of a backend server that has not ended.
+struct running_probe {
+  base::backend_server_id server;
+  std::uint64_t incarnation = 0;
+  base::time_point started{};
+};
+
 /// An instance that receives from this one what the platform publishes.
 struct follower {
   store_position position;
@@ -125,6 +132,8 @@
   std::map<base::reply_handle, active_request> requests;
   std::unordered_map<call_id, call> calls;
   std::uint64_t next_call = 1;
+  std::map<probe_id, running_probe> probes;
+  std::uint64_t next_probe = 1;
   request_history history;
   /// Latency of successful calls by route name, from the start of the call to its answer.
   std::map<std::string, routing::latency_window> latency;
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -13,6 +13,7 @@
 #include "core/forwarding/request_outcome.h"
 #include "core/forwarding/retry_budget.h"
 #include "core/forwarding/server_choice.h"
+#include "core/forwarding/server_probes.h"
 #include "core/membership/fact_table.h"
 
 namespace limpetrouter::core::forwarding {
@@ -83,6 +84,7 @@
     NoteServerDown(target, ctx);
   } else if (result.failure == error_kind::kConnectionLost) {
     NoteLostCall(target, {ended.fingerprint, ended.started, ctx.now, EstimateOtherWork(target, ctx.now)});
+    ProbeAfterLostCall(tables, ctx, target);
   }
   if (result.rate_limit.has_value()) NoteRateLimit(tables.servers, target, ctx, *result.rate_limit, ended.started);
   if (result.keep_alive.has_value()) target.max_idle = *result.keep_alive;
--- a/core/forwarding/server_choice.cc
+++ b/core/forwarding/server_choice.cc
@@ -148,6 +148,11 @@
   return best;
 }
 
+void NoteUnreachable(server& server, base::time_point now) {
+  AddFailureSample(server, 1, now);
+  Eject(server, now);
+}
+
 void NoteCallStart(server& server, const running_call& call) { server.running.push_back(call); }
 
 void NoteCallEnd(server& server, call_id id, call_verdict verdict, base::duration elapsed,
@@ -178,8 +183,7 @@
       break;
     case call_verdict::kConnectionRefused:
       if (server.served_at == base::time_point{} || now - server.served_at > kRecentlyServed) {
-        AddFailureSample(server, 1, now);
-        Eject(server, now);
+        NoteUnreachable(server, now);
         break;
       }
       // The open connections are reused. A connection that this instance closes may free a place for another one.
@@ -187,8 +191,7 @@
       server.connection_limit_until = now + kConnectionLimitTime;
       break;
     case call_verdict::kUnreachable:
-      AddFailureSample(server, 1, now);
-      Eject(server, now);
+      NoteUnreachable(server, now);
       break;
     case call_verdict::kFailed:
       AddFailureSample(server, 1, now);
--- a/core/forwarding/server_choice.h
+++ b/core/forwarding/server_choice.h
@@ -62,6 +62,8 @@
   kConnectionRefused,
 };
 
+/// Ejects a server that does not accept connections.
+void NoteUnreachable(server& server, base::time_point now);
 void NoteCallStart(server& server, const running_call& call);
 void NoteCallEnd(server& server, call_id id, call_verdict verdict, base::duration elapsed,
                  const std::optional<server_load>& load, base::time_point now);
--- a/core/forwarding/server_table.h
+++ b/core/forwarding/server_table.h
@@ -80,6 +80,7 @@
   std::optional<rate_limit> limit;
   /// Calls that were lost since the server last served one.
   std::vector<lost_call> lost_calls;
+  base::time_point probed_at{};
   /// How long the server keeps idle connections, as stated in its answers; zero if not stated.
   base::duration max_idle{};
 };
--- a/core/instance/instance.cc
+++ b/core/instance/instance.cc
@@ -10,6 +10,7 @@
 #include "core/forwarding/forwarding.h"
 #include "core/forwarding/publication_spread.h"
 #include "core/forwarding/requests.h"
+#include "core/forwarding/server_probes.h"
 #include "core/gather/gather.h"
 #include "core/instance/context.h"
 #include "core/membership/membership.h"
@@ -114,6 +115,8 @@
           forwarding::AbandonRequest(instance.forwarding, ctx, e.handle);
         } else if constexpr (std::is_same_v<event_type, io::server_call_ended>) {
           forwarding::HandleCallEnded(instance.forwarding, ctx, e);
+        } else if constexpr (std::is_same_v<event_type, io::server_probe_ended>) {
+          forwarding::HandleProbeEnded(instance.forwarding, ctx, e);
         } else if constexpr (std::is_same_v<event_type, io::entry_addresses_requested>) {
           forwarding::HandleEntryAddresses(instance.forwarding, ctx, e);
         } else if constexpr (std::is_same_v<event_type, io::published_read>) {
--- a/core/io/command.h
+++ b/core/io/command.h
@@ -117,6 +117,13 @@
   forwarding::call_id call;
 };
 
+/// Opens a connection to a backend server and closes it without a request, to learn whether a process listens there.
+/// Ends with `io::server_probe_ended`.
+struct probe_server {
+  forwarding::probe_id probe;
+  std::string address;
+};
+
 /// Answers the caller of a forwarded request.
 struct reply_forwarded {
   base::reply_handle handle;
@@ -171,9 +178,9 @@
 struct exit_process {};
 
 using command = std::variant<reply_query, reply_addresses, send_peer, call_backend, cancel_backend_call, probe_backend,
-                             read_configuration, read_instance_list, start_call, cancel_call, reply_forwarded,
-                             reply_entry_addresses, list_published, watch_published, apply_caller_limits,
-                             report_readiness, log_decision, exit_process>;
+                             read_configuration, read_instance_list, start_call, cancel_call, probe_server,
+                             reply_forwarded, reply_entry_addresses, list_published, watch_published,
+                             apply_caller_limits, report_readiness, log_decision, exit_process>;
 using command_list = std::vector<command>;
 
 }  // namespace limpetrouter::core::io
--- a/core/io/event.h
+++ b/core/io/event.h
@@ -115,6 +115,13 @@
   forwarding::call_result result;
 };
 
+/// A probe that was started with `probe_server` has ended.
+struct server_probe_ended {
+  forwarding::probe_id probe;
+  /// False if the connection was refused, or was not established within the connect timeout.
+  bool connected = false;
+};
+
 /// A caller asks where it may connect.
 struct entry_addresses_requested {
   base::reply_handle handle;
@@ -138,7 +145,7 @@
 using event =
     std::variant<query_received, query_abandoned, addresses_requested, peer_message_received, peer_send_failed,
                  backend_call_ended, backend_probe_ended, configuration_read, configuration_read_failed,
-                 instance_list_read, request_received, request_abandoned, server_call_ended, entry_addresses_requested,
-                 published_read, published_read_failed, leave_requested>;
+                 instance_list_read, request_received, request_abandoned, server_call_ended, server_probe_ended,
+                 entry_addresses_requested, published_read, published_read_failed, leave_requested>;
 
 }  // namespace limpetrouter::core::io
--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -202,6 +202,7 @@
 
   void Run(core::io::start_call&& command) { gateway->Run(std::move(command)); }
   void Run(core::io::cancel_call&& command) { gateway->Run(command); }
+  void Run(core::io::probe_server&& command) { gateway->Run(command); }
   void Run(core::io::reply_forwarded&& command) { gateway->Run(std::move(command)); }
   void Run(core::io::reply_entry_addresses&& command) { gateway->Run(command); }
   void Run(core::io::list_published&& command) { gateway->Run(command); }
--- a/shell/forwarding_gateway.cc
+++ b/shell/forwarding_gateway.cc
@@ -24,6 +24,8 @@
 constexpr std::size_t kMaxCallAnswerBytes = 16 * 1024 * 1024;
 /// A connection that is not accepted within this time counts as refused, and nothing was sent on it.
 constexpr std::chrono::milliseconds kCallConnectTimeout{300};
+/// Exceeds the connect timeout, so that a probe ends with the outcome of its connection.
+constexpr std::chrono::milliseconds kProbeTimeout{2 * kCallConnectTimeout};
 /// A connection that stays idle longer is not reused, so that connections beyond the typical number of calls are closed
 /// soon: a backend server accepts few connections, and those of a failed instance count until the server notices.
 constexpr std::chrono::seconds kMaxIdle{3};
@@ -167,6 +169,21 @@
   impl_->pool.Cancel(id);
 }
 
+void forwarding_gateway::Run(const core::io::probe_server& command) {
+  impl& g = *impl_;
+  transfer_request probe;
+  probe.id = g.pool.NewId();
+  probe.url = "http://" + command.address;
+  probe.connect_only = true;
+  probe.connect_timeout = kCallConnectTimeout;
+  probe.deadline = std::chrono::steady_clock::now() + kProbeTimeout;
+  probe.done = [&g, id = command.probe](const transfer_result& result) {
+    if (result.outcome == transfer_outcome::kCancelled) return;
+    g.post(core::io::server_probe_ended{id, result.outcome == transfer_outcome::kAnswered});
+  };
+  g.pool.Start(std::move(probe));
+}
+
 void forwarding_gateway::Run(core::io::reply_forwarded&& command) {
   impl_->request_metrics.RequestEnded(command.answer, CoreNow() - command.request->received);
   impl_->entry.Answer(command.handle, impl_->adapter.encode_answer(command.request.get(), std::move(command.answer)));
--- a/shell/forwarding_gateway.h
+++ b/shell/forwarding_gateway.h
@@ -30,6 +30,7 @@
 
   void Run(core::io::start_call&& command);
   void Run(const core::io::cancel_call& command);
+  void Run(const core::io::probe_server& command);
   void Run(core::io::reply_forwarded&& command);
   void Run(const core::io::reply_entry_addresses& command);
   void Run(const core::io::list_published& command);
--- a/shell/transfer.cc
+++ b/shell/transfer.cc
@@ -201,7 +201,8 @@
     curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(t.request.body.size()));
     curl_easy_setopt(handle, CURLOPT_POSTFIELDS, t.request.body.data());
   }
-  if (t.request.own_connection) {
+  curl_easy_setopt(handle, CURLOPT_CONNECT_ONLY, t.request.connect_only ? 1L : 0L);
+  if (t.request.own_connection || t.request.connect_only) {
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
   }
@@ -210,6 +211,7 @@
 transfer_outcome OutcomeOf(const transfer& t, CURLcode code) {
   switch (code) {
     case CURLE_OK:
+      if (t.request.connect_only) return transfer_outcome::kAnswered;
       return EndedInHeader(t) ? transfer_outcome::kConnectionLost : transfer_outcome::kAnswered;
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
--- a/shell/transfer_pool.h
+++ b/shell/transfer_pool.h
@@ -72,6 +72,8 @@
   /// The transfer neither reuses a connection nor leaves one for reuse, so that a dead idle connection cannot use up
   /// the only attempt.
   bool own_connection = false;
+  /// The transfer ends as answered once the connection is established, and closes it. Nothing is sent.
+  bool connect_only = false;
   /// Limit for establishing a connection; zero for the default of 500 ms.
   std::chrono::milliseconds connect_timeout{};
   /// A connection that was idle for longer is not reused; zero for the default of 60 s.
--- a/tests/core/forwarding/crash_suspects_test.cc
+++ b/tests/core/forwarding/crash_suspects_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "core/forwarding/server_choice.h"
+#include "core/forwarding/server_probes.h"
 #include "core/membership/fact_table.h"
 #include "forwarding_world.h"
 
@@ -148,5 +149,54 @@
   CHECK(membership::IsSuspected(fixture.facts, fingerprint, fixture.now));
 }
 
+// Guards against crashes that are never detected because no instance connects to a rarely called server again.
+TEST_CASE("a server that loses a call is probed at once, and a failed probe reveals the crash") {
+  const bool connected = GENERATE(false, true);
+  INFO("connected " << connected);
+  forwarding_fixture fixture = FixtureWithServers(3);
+  const base::reply_handle handle = fixture.Send({}, "bad");
+  const base::fingerprint_id fingerprint = fixture.tables.requests.at(handle).fingerprint;
+  const auto calls = fixture.TakeCalls();
+  REQUIRE(calls.size() == 1);
+  fixture.End(calls[0], forwarding_fixture::Failed(error_kind::kConnectionLost, executed_state::kUnknown));
+  const auto probes = fixture.Take<io::probe_server>();
+  REQUIRE(probes.size() == 1);
+  CHECK(probes[0].address == calls[0].address);
+  fixture.now += milliseconds(2);
+  instance::context ctx = fixture.Context();
+  HandleProbeEnded(fixture.tables, ctx, {probes[0].probe, connected});
+  CHECK(membership::IsSuspected(fixture.facts, fingerprint, fixture.now) == !connected);
+  const bool ejected = fixture.tables.servers.servers.at(calls[0].server).ejected_until > fixture.now;
+  CHECK(ejected == !connected);
+  CHECK(fixture.tables.probes.empty());
+}
+
+// Guards against many connections to a server whose connections are reset.
+TEST_CASE("a server that loses calls in quick succession is probed once") {
+  forwarding_fixture fixture = FixtureWithServers(1);
+  for (int i = 0; i < 2; ++i)
+    fixture.Send();
+  const auto calls = fixture.TakeCalls();
+  REQUIRE(calls.size() == 2);
+  for (const auto& call : calls)
+    fixture.End(call, forwarding_fixture::Failed(error_kind::kConnectionLost, executed_state::kUnknown));
+  CHECK(fixture.Take<io::probe_server>().size() == 1);
+}
+
+// Guards against a probe of a server's former process that is taken for one of its present process.
+TEST_CASE("a probe that was started before its server restarted says nothing") {
+  forwarding_fixture fixture = FixtureWithServers(1);
+  fixture.Send({}, "bad");
+  const auto calls = fixture.TakeCalls();
+  fixture.End(calls.at(0), forwarding_fixture::Failed(error_kind::kConnectionLost, executed_state::kUnknown));
+  const auto probes = fixture.Take<io::probe_server>();
+  server_record restarted = forwarding_fixture::MakeServer("server0", "single", "a");
+  restarted.incarnation = 2;
+  fixture.AddServers({restarted});
+  instance::context ctx = fixture.Context();
+  HandleProbeEnded(fixture.tables, ctx, {probes.at(0).probe, false});
+  CHECK(fixture.tables.servers.servers.at(calls[0].server).ejected_until <= fixture.now);
+}
+
 }  // namespace
 }  // namespace limpetrouter::core::forwarding
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -198,6 +198,7 @@
   void ListPublished(process& p, std::uint64_t read);
   void WatchPublished(process& p, const core::io::watch_published& watch);
   void StartForwardCall(process& p, const core::io::start_call& call);
+  void ProbeForwardServer(process& p, const core::io::probe_server& probe);
   void ArriveForwardCall(const std::string& server, forward_server::held_call held);
   void RunForwardCall(forward_server& server, forward_server::held_call held);
   void FinishForwardRun(const std::string& server, std::uint64_t run);
--- a/tests/scenario/world_forwarding.cc
+++ b/tests/scenario/world_forwarding.cc
@@ -216,6 +216,16 @@
   Schedule(delay, [this, id, held] { ArriveForwardCall(id, held); });
 }
 
+void world::ProbeForwardServer(process& p, const io::probe_server& probe) {
+  const auto found = std::find_if(forward_.servers.begin(), forward_.servers.end(),
+                                  [&probe](const auto& item) { return item.second.record.address == probe.address; });
+  if (found == forward_.servers.end()) return;
+  const base::duration delay = Delay(p.spec.data_centre, found->second.record.data_centre.value);
+  Schedule(2 * delay, [this, id = p.spec.id, life = p.life, probe, server = found->first] {
+    Deliver(id, life, io::server_probe_ended{probe.probe, forward_.servers.at(server).up});
+  });
+}
+
 void world::ArriveForwardCall(const std::string& id, forward_server::held_call held) {
   if (!forward_.open.contains({held.instance, held.life, held.call.call.value})) return;
   forward_server& server = forward_.servers.at(id);
@@ -314,6 +324,8 @@
     Schedule(base::duration{0}, [this, id = p.spec.id, life = p.life, ended = cancel->call] {
       Deliver(id, life, io::server_call_ended{ended, Failure(error_kind::kCancelled, executed_state::kUnknown)});
     });
+  } else if (auto* probe = std::get_if<io::probe_server>(&command)) {
+    ProbeForwardServer(p, *probe);
   } else if (auto* reply = std::get_if<io::reply_forwarded>(&command)) {
     const auto found = forward_.tries_by_handle.find(reply->handle.value);
     if (found == forward_.tries_by_handle.end()) return true;
--- a/tests/shell/transfer_pool_test.cc
+++ b/tests/shell/transfer_pool_test.cc
@@ -171,5 +171,36 @@
   CHECK(Eventually([&answered] { return answered.load(); }));
 }
 
+// Guards against probes that send bytes to a server, stay connected, or misjudge whether a process listens.
+TEST_CASE("a transfer that only connects tells whether a process listens, and sends nothing") {
+  const bool listens = GENERATE(true, false);
+  INFO("listens " << listens);
+  scripted_server server([](const std::string&) { return scripted_reply{HttpAnswer(200, "{}"), false, {}}; });
+  transfer_pool pool;
+  std::atomic<int> ended{0};
+  std::atomic<transfer_outcome> outcome{transfer_outcome::kCancelled};
+  transfer_request probe;
+  probe.id = pool.NewId();
+  probe.url = "http://" + (listens ? server.Address() : FreeAddress());
+  probe.connect_only = true;
+  probe.deadline = steady_clock::now() + milliseconds(2'000);
+  probe.done = [&](transfer_result&& result) {
+    outcome = result.outcome;
+    ++ended;
+  };
+  pool.Start(std::move(probe));
+  REQUIRE(Eventually([&ended] { return ended == 1; }));
+  CHECK(outcome == (listens ? transfer_outcome::kAnswered : transfer_outcome::kConnectFailed));
+  if (!listens) return;
+  CHECK(Eventually([&server] { return server.Connections() == 1; }));
+  // A later request opens a connection of its own.
+  transfer_request request = OpaqueGet(pool, server.Address(), milliseconds(2'000));
+  request.done = [&ended](transfer_result&&) { ++ended; };
+  pool.Start(std::move(request));
+  REQUIRE(Eventually([&ended] { return ended == 2; }));
+  CHECK(server.Connections() == 2);
+  CHECK(server.Requests().size() == 1);
+}
+
 }  // namespace
 }  // namespace limpetrouter::shell
