Hold a request that has lost calls at several servers until one of its calls is answered

Cause: each part of a sharded request that crashes servers was sent again at once, to the servers that were left, so that one request ended all replicas of all shards within its first milliseconds, before any instance could know of a crash. Class of fault: retries assume that failures are independent of the request.

Now a request that has lost two calls while none has been answered is not sent again until one is; if no call is left, it fails once its servers have been probed, so that the suspicion is on its way before the caller tries again. A request that is already suspected has one call at a time. Facts are announced in the next tick instead of up to 20 ms later. Requests that lose calls because servers crash together go on with their first answer.

Two attempts that follow each other within milliseconds still crash a server a shard each.

--- a/core/forwarding/crash_suspects.cc
+++ b/core/forwarding/crash_suspects.cc
@@ -7,6 +7,7 @@
 
 #include "core/base/digest.h"
 #include "core/config/configuration.h"
+#include "core/forwarding/request_calls.h"
 #include "core/forwarding/server_choice.h"
 #include "core/membership/fact_table.h"
 
@@ -44,8 +45,54 @@
                          {"lost_before_ms", std::to_string(base::ToMilliseconds(ctx.now - call.lost))}});
 }
 
+/// A request that has lost this many calls without an answer may have crashed the servers. A single crash has another
+/// cause in general.
+constexpr std::uint32_t kSuspiciousLostCalls = 2;
+
+bool IsAnyPartAnswered(const active_request& request) {
+  return std::any_of(request.parts.begin(), request.parts.end(),
+                     [](const request_part& part) { return part.result.has_value(); });
+}
+
+bool IsAnyCallRunning(const active_request& request) {
+  return std::any_of(request.parts.begin(), request.parts.end(),
+                     [](const request_part& part) { return !part.calls.empty(); });
+}
+
+/// True if the probe of a server that the part was sent to is running.
+bool IsProbed(const forwarding_tables& tables, const request_part& part) {
+  return std::any_of(tables.probes.begin(), tables.probes.end(), [&part](const auto& item) {
+    return std::find(part.tried.begin(), part.tried.end(), item.second.server) != part.tried.end();
+  });
+}
+
 }  // namespace
 
+bool MayCrashServers(const active_request& request) {
+  return (request.cautious || request.lost_calls >= kSuspiciousLostCalls) && !IsAnyPartAnswered(request);
+}
+
+void ResumeHeldParts(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle,
+                     active_request& request) {
+  const bool any_held =
+      std::any_of(request.parts.begin(), request.parts.end(), [](const request_part& part) { return part.held; });
+  if (!any_held) return;
+  const bool answered = IsAnyPartAnswered(request);
+  if (!answered && IsAnyCallRunning(request)) return;
+  const bool probed = std::any_of(request.parts.begin(), request.parts.end(),
+                                  [&tables](const request_part& part) { return IsProbed(tables, part); });
+  if (!answered && probed) return;
+  for (std::size_t i = 0; i < request.parts.size(); ++i) {
+    request_part& part = request.parts[i];
+    if (!std::exchange(part.held, false)) continue;
+    if (!answered) {
+      part.failed = true;
+    } else {
+      DispatchPart(tables, ctx, handle, request, i, part.attempts == 0 ? send_purpose::kFirst : send_purpose::kRetry);
+    }
+  }
+}
+
 void NoteLostCall(server& server, const lost_call& call) {
   std::erase_if(server.lost_calls,
                 [&call](const lost_call& old) { return call.lost - old.lost > kCrashDetectionTime; });
--- a/core/forwarding/crash_suspects.h
+++ b/core/forwarding/crash_suspects.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/forwarding/request_table.h"
 #include "core/forwarding/server_table.h"
 #include "core/instance/context.h"
 
@@ -15,4 +16,13 @@
 /// two servers.
 void NoteServerDown(server& server, instance::context& ctx);
 
+/// True if the request may crash the servers that run it: it is suspected, or has lost calls at several servers, and
+/// none of its calls has been answered.
+bool MayCrashServers(const active_request& request);
+/// Sends the held parts of a request once one of its parts has been answered. Fails them if no call is left that could
+/// be answered, and the servers that lost its calls have been probed, so that the other instances learn of a crash
+/// before the caller sends the request again.
+void ResumeHeldParts(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle,
+                     active_request& request);
+
 }  // namespace limpetrouter::core::forwarding
--- a/core/forwarding/request_calls.cc
+++ b/core/forwarding/request_calls.cc
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include "core/forwarding/crash_suspects.h"
 #include "core/forwarding/rate_limit.h"
 #include "core/forwarding/request_outcome.h"
 #include "core/forwarding/retry_budget.h"
@@ -47,7 +48,7 @@
                std::size_t index, base::duration delay) {
   request_part& part = request.parts[index];
   if (part.result.has_value() || part.calls.size() != 1 || part.attempts >= request.route->max_attempts) return;
-  if (ctx.now < part.next_hedge) return;
+  if (ctx.now < part.next_hedge || MayCrashServers(request)) return;
   const call& running = tables.calls.at(part.calls.front());
   if (ctx.now - running.started < delay) return;
   const choice chosen = Choose(tables, ctx, request, part, true);
@@ -158,13 +159,17 @@
 void ContinuePart(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle, active_request& request,
                   std::size_t index, bool reached_server) {
   request_part& part = request.parts[index];
-  if (!part.calls.empty() || part.failed) return;
+  if (!part.calls.empty() || part.failed || part.held) return;
   const bool retry = MayRetry(ctx, request, part) && ctx.now + kAnswerMargin < request.deadline &&
                      (!reached_server || TrySpendRetryBudget(tables, part.service, extra_call_kind::kRetry, ctx.now));
   if (!retry) {
     part.failed = true;
     return;
   }
+  if (MayCrashServers(request)) {
+    part.held = true;
+    return;
+  }
   DispatchPart(tables, ctx, handle, request, index, send_purpose::kRetry);
 }
 
--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -61,6 +61,8 @@
   bool failed = false;
   /// True if the part waits for free capacity at a backend server.
   bool waiting = false;
+  /// True if the part is sent only once another part has been answered, because the request may crash its servers.
+  bool held = false;
   /// No hedge is considered before this time, because the last one found no budget or no free slot.
   base::time_point next_hedge{};
 };
@@ -76,6 +78,10 @@
   /// Combined over all calls that have ended.
   base::executed_state executed = base::executed_state::kNo;
   base::error_kind last_failure = base::error_kind::kNoUsableReplica;
+  /// The request may crash the servers that run it, so that it has one call at a time until one is answered.
+  bool cautious = false;
+  /// Number of calls that lost their connection.
+  std::uint32_t lost_calls = 0;
   std::uint32_t calls = 0;
   std::uint32_t hedges = 0;
   std::uint32_t retries = 0;
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -104,6 +104,7 @@
 
 void AdvanceRequest(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle) {
   active_request& request = tables.requests.at(handle);
+  ResumeHeldParts(tables, ctx, handle, request);
   if (CheckProgress(tables, ctx, handle) || !IsIdempotent(request)) return;
   HedgeParts(tables, ctx, handle, request);
 }
@@ -184,6 +185,7 @@
     return Refuse(tables, ctx, event.handle, content,
                   {error_kind::kRequestWithheld, "an identical request crashed backend servers"}, kMaxRetryAfter);
   }
+  request.cautious = membership::IsSuspected(ctx.facts, request.fingerprint, ctx.now);
   if (ctx.now >= request.deadline) {
     return Refuse(tables, ctx, event.handle, content,
                   {error_kind::kDeadlineExceeded, "the deadline had passed before the request was accepted"},
@@ -214,6 +216,10 @@
   }
   for (std::size_t i = 0; i < added.parts.size(); ++i) {
     if (choices[i].state != choice_state::kChosen) continue;
+    if (added.cautious && added.calls > 0) {
+      added.parts[i].held = true;
+      continue;
+    }
     StartCall(tables, ctx, event.handle, added, i, choices[i], send_purpose::kFirst);
   }
   if (!RefuseIfQueueTooLong(tables, ctx, event.handle)) CheckProgress(tables, ctx, event.handle);
@@ -250,6 +256,7 @@
   } else if (!ended.lingers_until.has_value()) {
     LogCallFailure(tables, ctx, request, ended, result);
   }
+  if (result.failure == error_kind::kConnectionLost) ++request.lost_calls;
   if (!part.result.has_value()) {
     const bool reached = result.failure != error_kind::kConnectFailed;
     if (!reached) --part.attempts;
@@ -258,6 +265,7 @@
   }
   // The slower one of two hedged calls may still end by itself within the linger time.
   if (part.result.has_value()) LetCallsLinger(tables, ctx, part);
+  ResumeHeldParts(tables, ctx, ended.request, request);
   CheckProgress(tables, ctx, ended.request);
   DispatchWaitingParts(tables, ctx);
 }
--- a/core/membership/fact_spread.cc
+++ b/core/membership/fact_spread.cc
@@ -88,13 +88,6 @@
   }
 }
 
-bool TakeUrgentFacts(membership_tables& tables) {
-  bool urgent = false;
-  for (auto& [key, known] : tables.facts.facts)
-    urgent |= std::exchange(known.urgent, false);
-  return urgent;
-}
-
 void CleanUpFacts(membership_tables& tables, base::time_point now) {
   ExpireFacts(tables.facts, now);
   std::erase_if(tables.facts.facts, [&tables](const auto& entry) { return IsOutdated(tables, entry.second.fact); });
--- a/core/membership/fact_spread.h
+++ b/core/membership/fact_spread.h
@@ -21,9 +21,6 @@
 /// Merges facts that another instance sent.
 void MergeFacts(membership_tables& tables, instance::context& ctx, const std::vector<peer::fact>& facts);
 
-/// Returns true if there are facts that have not been announced yet, and marks all facts as announced.
-bool TakeUrgentFacts(membership_tables& tables);
-
 /// Removes facts that have expired, and drains that a newer configuration has ended.
 void CleanUpFacts(membership_tables& tables, base::time_point now);
 
--- a/core/membership/fact_table.cc
+++ b/core/membership/fact_table.cc
@@ -38,7 +38,7 @@
   known.fact.expires_in_us = Expires(fact.kind) ? lifetime.count() : 0;
   known.expires = Expires(fact.kind) ? now + lifetime : base::time_point::max();
   known.transmissions_left = kFactTransmissions;
-  known.urgent = true;
+  table.announcement_due = true;
 }
 
 /// True if the drain of incarnation `boot` of the server is recorded as ended. 0 stands for an unknown incarnation.
--- a/core/membership/fact_table.h
+++ b/core/membership/fact_table.h
@@ -23,13 +23,13 @@
   base::time_point expires{};
   /// Number of messages that will still carry the fact.
   std::uint32_t transmissions_left = 0;
-  /// The fact has not been announced to random peers yet.
-  bool urgent = false;
 };
 
 /// Facts by kind and subject.
 struct fact_table {
   std::map<std::pair<peer::fact_kind, std::string>, known_fact> facts;
+  /// True if there is a new fact that has not been announced to random peers yet.
+  bool announcement_due = false;
 };
 
 /// Number of messages that carry a new fact: 3 log2(450) of them reach the complete planned fleet with high
--- a/core/membership/spread_queue.cc
+++ b/core/membership/spread_queue.cc
@@ -25,8 +25,6 @@
 constexpr double kMaxTokens = 16;
 constexpr double kTokensPerSecond = 1;
 
-/// The check for urgent facts iterates over all facts, so it is not done in every tick.
-constexpr base::duration kFactCheckInterval = std::chrono::milliseconds(20);
 constexpr std::size_t kMaxFactsPerMessage = 8;
 /// Leaves space for member updates in a message with facts.
 constexpr std::size_t kMaxFactBytes = 500;
@@ -147,10 +145,7 @@
 
 void RunSpread(membership_tables& tables, instance::context& ctx) {
   spread_queue& spread = tables.spread;
-  if (ctx.now >= spread.next_fact_check) {
-    spread.next_fact_check = ctx.now + kFactCheckInterval;
-    if (TakeUrgentFacts(tables)) spread.announce = true;
-  }
+  if (std::exchange(tables.facts.announcement_due, false)) spread.announce = true;
   const auto due = std::partition(spread.repeats.begin(), spread.repeats.end(),
                                   [&ctx](base::time_point time) { return time > ctx.now; });
   if (due != spread.repeats.end()) spread.announce = true;
--- a/core/membership/spread_queue.h
+++ b/core/membership/spread_queue.h
@@ -25,7 +25,6 @@
   /// Token bucket for announcement rounds.
   double tokens = 0;
   base::time_point refilled{};
-  base::time_point next_fact_check{};
 };
 
 /// Queues the current state of the member for the next messages.
--- a/tests/core/forwarding/crash_suspects_test.cc
+++ b/tests/core/forwarding/crash_suspects_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "core/forwarding/retry_budget.h"
 #include "core/forwarding/server_choice.h"
 #include "core/forwarding/server_probes.h"
 #include "core/membership/fact_table.h"
@@ -198,5 +199,100 @@
   CHECK(fixture.tables.servers.servers.at(calls[0].server).ejected_until <= fixture.now);
 }
 
+forwarding_fixture ShardedFixture() {
+  constexpr std::size_t kShards = 4;
+  forwarding_fixture fixture;
+  route sharded = forwarding_fixture::MakeRoute(repeat_policy::kIdempotent, kShards);
+  sharded.max_attempts = 3;
+  fixture.SetRoute(sharded);
+  for (std::size_t i = 0; i < kShards; ++i) {
+    const std::string shard = "shard" + std::to_string(i);
+    for (const char* replica : {"x", "y", "z"})
+      fixture.AddServers({forwarding_fixture::MakeServer(shard + "-" + replica, shard, "a")});
+    for (int count = 0; count < 100; ++count)
+      CountRequest(fixture.tables, base::service_id(shard), fixture.now);
+  }
+  return fixture;
+}
+
+void EndProbes(forwarding_fixture& fixture, bool connected) {
+  for (const auto& probe : fixture.Take<io::probe_server>()) {
+    instance::context ctx = fixture.Context();
+    HandleProbeEnded(fixture.tables, ctx, {probe.probe, connected});
+  }
+}
+
+// Guards against one sharded request that crashes all servers of its service: each part was sent again to the servers
+// that were left, within milliseconds.
+TEST_CASE("a sharded request whose calls are all lost crashes one server a shard, and is answered after the probes") {
+  forwarding_fixture fixture = ShardedFixture();
+  const base::reply_handle handle = fixture.Send({}, "bad");
+  const base::fingerprint_id fingerprint = fixture.tables.requests.at(handle).fingerprint;
+  const auto first = fixture.TakeCalls();
+  REQUIRE(first.size() == 4);
+  std::size_t repeated = 0;
+  for (const auto& call : first) {
+    fixture.now += milliseconds(1);
+    fixture.End(call, forwarding_fixture::Failed(error_kind::kConnectionLost, executed_state::kUnknown));
+    repeated += fixture.TakeCalls().size();
+  }
+  // A single lost call has another cause in general, so that the part that lost the first one is sent again.
+  CHECK(repeated == 1);
+  fixture.Run(milliseconds(40));
+  CHECK(fixture.TakeCalls().empty());
+  CHECK(fixture.TakeReplies().empty());
+  EndProbes(fixture, false);
+  CHECK(membership::IsSuspected(fixture.facts, fingerprint, fixture.now));
+}
+
+// Guards against a request that is given up although other parts show that it does not crash servers.
+TEST_CASE("held parts are sent again once another part has been answered") {
+  forwarding_fixture fixture = ShardedFixture();
+  fixture.Send();
+  const auto calls = fixture.TakeCalls();
+  REQUIRE(calls.size() == 4);
+  std::size_t repeated = 0;
+  for (std::size_t i = 0; i < 3; ++i) {
+    fixture.End(calls[i], forwarding_fixture::Failed(error_kind::kConnectionLost, executed_state::kUnknown));
+    repeated += fixture.TakeCalls().size();
+  }
+  CHECK(repeated == 1);
+  fixture.End(calls[3], forwarding_fixture::Served("aaaa"));
+  CHECK(fixture.TakeCalls().size() == 2);
+}
+
+// Guards against a suspected request that reaches all shards at once at the next instance.
+TEST_CASE("a suspected sharded request has one call until it is answered") {
+  const bool answered = GENERATE(true, false);
+  INFO("answered " << answered);
+  forwarding_fixture fixture = ShardedFixture();
+  const base::reply_handle first = fixture.Send({}, "bad");
+  const base::fingerprint_id fingerprint = fixture.tables.requests.at(first).fingerprint;
+  for (const auto& call : fixture.TakeCalls())
+    fixture.End(call, forwarding_fixture::Served("aaaa"));
+  fixture.TakeReplies();
+  membership::RecordSuspected(fixture.facts, fingerprint, {1, true}, std::chrono::minutes(1), fixture.now);
+  fixture.now += milliseconds(1);
+  fixture.Send({}, "bad");
+  const auto canary = fixture.TakeCalls();
+  REQUIRE(canary.size() == 1);
+  fixture.Run(milliseconds(300));
+  CHECK(fixture.TakeCalls().empty());
+  if (answered) {
+    fixture.End(canary[0], forwarding_fixture::Served("aaaa"));
+    CHECK(fixture.TakeCalls().size() == 3);
+    return;
+  }
+  fixture.End(canary[0], forwarding_fixture::Failed(error_kind::kConnectionLost, executed_state::kUnknown));
+  CHECK(fixture.TakeCalls().empty());
+  EndProbes(fixture, false);
+  fixture.Run(milliseconds(10));
+  CHECK(fixture.TakeCalls().empty());
+  const auto replies = fixture.TakeReplies();
+  REQUIRE(replies.size() == 1);
+  CHECK(replies[0].answer.status == 502);
+  CHECK(membership::IsWithheld(fixture.facts, fingerprint, fixture.now));
+}
+
 }  // namespace
 }  // namespace limpetrouter::core::forwarding
--- a/tests/core/membership/fact_table_test.cc
+++ b/tests/core/membership/fact_table_test.cc
@@ -91,7 +91,7 @@
   const base::fingerprint_id fingerprint(77);
   RecordWithheld(table, fingerprint, std::chrono::minutes(10), kStart);
   REQUIRE(table.facts.size() == 1);
-  CHECK(table.facts.begin()->second.urgent);
+  CHECK(table.announcement_due);
   const peer::fact fact = table.facts.begin()->second.fact;
   CHECK_FALSE(MergeFact(table, fact, kStart));
   fact_table other;
