--- a/tests/scenario/checkers.cc
+++ b/tests/scenario/checkers.cc
@@ -322,7 +322,7 @@
                                           CheckNotRunIsTrue(world), CheckAtMostOnce(world),   CheckDrains(world),
                                           CheckShutdown(world),     CheckConfiguration(world)};
   for (const auto check : {CheckForwardAnswer, CheckForwardCoverage, CheckForwardNotRun, CheckForwardOnce,
-                           CheckForwardDrain, CheckForwardBudget, CheckForwardCrashes})
+                           CheckForwardDrain, CheckForwardBudget, CheckForwardCrashes, CheckForwardCutOff})
     reports.push_back(check(world));
   return reports;
 }
--- a/tests/scenario/forward_checkers.cc
+++ b/tests/scenario/forward_checkers.cc
@@ -191,6 +191,44 @@
   return report;
 }
 
+property_report CheckForwardCutOff(const world& world) {
+  property_report report{"forwarded cut off", 0, {}};
+  const trace& trace = world.record();
+  struct tally {
+    double sent = 0;
+    double served = 0;
+  };
+  tally cut_off;
+  tally others;
+  for (const forward_try& made : trace.forward_tries) {
+    if (made.number != 1 || made.content == kForwardCrashingContent) continue;
+    const auto is_cut = [&made](const server_cut_record& cut) {
+      return cut.from + kForwardCutBound <= made.sent && made.sent < cut.to;
+    };
+    const bool during = std::any_of(trace.server_cuts.begin(), trace.server_cuts.end(), is_cut);
+    if (!during) continue;
+    const bool here = std::any_of(trace.server_cuts.begin(), trace.server_cuts.end(),
+                                  [&](const auto& cut) { return cut.instance == made.instance && is_cut(cut); });
+    const bool elsewhere = std::none_of(trace.server_cuts.begin(), trace.server_cuts.end(), [&made](const auto& cut) {
+      return cut.instance == made.instance && cut.from <= made.sent && made.sent < cut.to;
+    });
+    if (!here && !elsewhere) continue;
+    tally& counted = here ? cut_off : others;
+    ++counted.sent;
+    counted.served += IsServed(made) ? 1 : 0;
+  }
+  if (cut_off.sent == 0 || others.sent == 0) return report;
+  ++report.checked;
+  const double share = cut_off.served / cut_off.sent;
+  const double failed = cut_off.sent - cut_off.served;
+  const double allowed = kForwardCutFailures + kForwardCutFailureShare * (cut_off.sent + others.sent);
+  if (share >= kForwardCutShare * others.served / others.sent || failed <= allowed) return report;
+  report.violations.push_back(
+      fmt::format("{} of {} first tries are served at instances that are cut off, {} of {} at others", cut_off.served,
+                  cut_off.sent, others.served, others.sent));
+  return report;
+}
+
 property_report CheckForwardCrashes(const world& world) {
   property_report report{"forwarded crashes", 0, {}};
   std::map<std::string, const forward_try*> tries;
--- a/tests/scenario/forward_checkers.h
+++ b/tests/scenario/forward_checkers.h
@@ -12,6 +12,13 @@
 inline constexpr std::size_t kForwardMaxCrashRetries = 3;
 inline constexpr base::duration kForwardCrashBound = std::chrono::seconds(4);
 
+/// Callers may notice a cut between instances and servers for this long. After it, first tries at these instances are
+/// served at least this share as often as those at the others, or no more than a few of them fail.
+inline constexpr base::duration kForwardCutBound = std::chrono::seconds(4);
+inline constexpr double kForwardCutShare = 2.0 / 3;
+inline constexpr double kForwardCutFailures = 10;
+inline constexpr double kForwardCutFailureShare = 1.0 / 50;
+
 // One checker for each property of forwarded requests. Each runs over the whole trace.
 
 /// The answer is the caller's own, in time, and from the backend servers that it names.
@@ -25,6 +32,9 @@
 property_report CheckForwardDrain(const world& world);
 /// Repeated sends of all instances together in any window.
 property_report CheckForwardBudget(const world& world);
+/// While some instances are cut off from the servers, callers' first tries there are served about as often as
+/// elsewhere.
+property_report CheckForwardCutOff(const world& world);
 /// A request that crashes the servers that run it reaches few servers once instances had time to learn of three
 /// crashes.
 property_report CheckForwardCrashes(const world& world);
--- a/tests/scenario/forward_world.h
+++ b/tests/scenario/forward_world.h
@@ -39,6 +39,16 @@
   bool crashes = false;
 };
 
+/// How an instance is cut off from all backend servers.
+enum class server_cut_kind : std::uint8_t {
+  /// Connections hang, also those that are open.
+  kSilent,
+  /// Connections are reset, and new ones are refused.
+  kRefuse,
+  /// Open connections work, and new ones are refused.
+  kNewRefused,
+};
+
 /// A backend server that runs forwarded requests in its slots, queues as many, and refuses the rest.
 struct forward_server {
   struct held_call {
@@ -78,6 +88,10 @@
   std::uint64_t epoch = 1;
   std::uint64_t next_run = 1;
   std::uint64_t next_request = 1;
+  /// Instances that are cut off from the servers.
+  std::map<std::string, server_cut_kind> server_cuts;
+  /// When an instance last had an open connection to a server.
+  std::map<std::pair<std::string, std::string>, base::time_point> connected;
   /// Calls without an end, by instance and life.
   std::set<std::tuple<std::string, std::uint64_t, std::uint64_t>> open;
   /// Tries by the handle under which an instance holds them.
--- a/tests/scenario/script.cc
+++ b/tests/scenario/script.cc
@@ -160,6 +160,13 @@
     act(id);
 }
 
+server_cut_kind ParseServerCut(const std::string& text) {
+  if (text == "silent") return server_cut_kind::kSilent;
+  if (text == "refuse") return server_cut_kind::kRefuse;
+  if (text == "new-refused") return server_cut_kind::kNewRefused;
+  Bad(fmt::format("unknown kind of cut '{}'", text));
+}
+
 void SetInventoryState(nlohmann::json& document, const std::string& pattern, const char* state, world& world) {
   for (const std::string& id : world.BackendsMatching(pattern)) {
     for (auto& server : document["inventory"]["backend_servers"]) {
@@ -263,6 +270,13 @@
        [](world& w, const words& l) { ForForwardServers(w, l, [&](const auto& id) { w.PublishServer(id); }); }},
       {"store-copied", [](world& w, const words&) { w.CopyForwardStore(); }},
       {"store-restored", [](world& w, const words&) { w.RestoreForwardStore(); }},
+      {"cut-from-servers",
+       [](world& w, const words& l) {
+         const server_cut_kind kind = ParseServerCut(Word(l, 2, "kind of cut"));
+         ForInstances(w, l, [&](const std::string& id) { w.CutFromServers(id, kind); });
+       }},
+      {"heal-from-servers",
+       [](world& w, const words& l) { ForInstances(w, l, [&](const std::string& id) { w.HealFromServers(id); }); }},
       {"server-silent",
        [](world& w, const words& l) {
          ForForwardServers(w, l, [&](const auto& id) { w.ForwardServer(id).silent = true; });
--- a/tests/scenario/trace.h
+++ b/tests/scenario/trace.h
@@ -111,6 +111,8 @@
   std::string content;
   base::time_point sent;
   base::instance_id instance;
+  /// Number of the try of its request, from 1.
+  std::uint32_t number = 1;
   std::optional<core::forwarding::answer> answer;
   base::time_point answered{};
   /// The instance ended, or could not be reached.
@@ -136,6 +138,13 @@
   std::string server;
 };
 
+/// Time in which an instance was cut off from all backend servers.
+struct server_cut_record {
+  base::instance_id instance;
+  base::time_point from;
+  base::time_point to = base::time_point::max();
+};
+
 /// A backend server whose entry says that it drains.
 struct forward_drain {
   base::time_point at;
@@ -163,6 +172,7 @@
   std::vector<forward_call> forward_calls;
   std::vector<forward_run> forward_runs;
   std::vector<forward_drain> forward_drains;
+  std::vector<server_cut_record> server_cuts;
   /// Crashes of backend servers that a forwarded request caused.
   std::uint64_t forward_crashes = 0;
   /// Crashes of backend servers that a request caused.
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -108,6 +108,8 @@
   /// Starts it again with a new incarnation.
   void StartForwardServer(const std::string& id);
   void DrainForwardServer(const std::string& id);
+  void CutFromServers(const std::string& instance, server_cut_kind kind);
+  void HealFromServers(const std::string& instance);
   /// Keeps a copy of the platform's store, which `RestoreForwardStore` goes back to.
   void CopyForwardStore();
   void RestoreForwardStore();
@@ -198,6 +200,8 @@
   void ListPublished(process& p, std::uint64_t read);
   void WatchPublished(process& p, const core::io::watch_published& watch);
   void StartForwardCall(process& p, const core::io::start_call& call);
+  /// Ends the call as the cut between its instance and the servers requires. Returns false if it reaches its server.
+  bool CutForwardCall(const forward_server::held_call& held);
   void ProbeForwardServer(process& p, const core::io::probe_server& probe);
   void ArriveForwardCall(const std::string& server, forward_server::held_call held);
   void RunForwardCall(forward_server& server, forward_server::held_call held);
--- a/tests/scenario/world_forwarding.cc
+++ b/tests/scenario/world_forwarding.cc
@@ -20,6 +20,10 @@
 constexpr base::duration kStoreTime = std::chrono::milliseconds(2);
 /// An entry outlives its server by the lease.
 constexpr base::duration kLease = std::chrono::seconds(2);
+/// A connection that is not accepted within this time counts as refused.
+constexpr base::duration kConnectTimeout = std::chrono::milliseconds(300);
+/// Idle connections are closed after this time.
+constexpr base::duration kMaxIdle = std::chrono::seconds(3);
 constexpr base::duration kRestartTime = std::chrono::seconds(3);
 /// Tries of a caller for one request.
 constexpr std::uint32_t kMaxTries = 3;
@@ -212,17 +216,71 @@
     DropForwardCalls(held.instance, held.life, held.call.call.value);
     EndForwardCall(held, Failure(error_kind::kDeadlineExceeded, executed_state::kUnknown), true);
   });
+  if (CutForwardCall(held)) return;
   const base::duration delay = Delay(p.spec.data_centre, found->second.record.data_centre.value);
   Schedule(delay, [this, id, held] { ArriveForwardCall(id, held); });
 }
 
+void world::CutFromServers(const std::string& instance, server_cut_kind kind) {
+  forward_.server_cuts[instance] = kind;
+  trace_.server_cuts.push_back({base::instance_id(instance), now_, base::time_point::max()});
+  if (kind != server_cut_kind::kRefuse) return;
+  const process& p = ProcessOf(instance);
+  std::vector<forward_server::held_call> lost;
+  for (const auto& [id, server] : forward_.servers) {
+    for (const auto* list : {&server.running, &server.queue}) {
+      for (const auto& held : *list) {
+        if (held.instance == instance && held.life == p.life) lost.push_back(held);
+      }
+    }
+  }
+  for (const auto& held : lost) {
+    DropForwardCalls(held.instance, held.life, held.call.call.value);
+    EndForwardCall(held, Failure(error_kind::kConnectionLost, executed_state::kUnknown), true);
+  }
+}
+
+void world::HealFromServers(const std::string& instance) {
+  forward_.server_cuts.erase(instance);
+  for (server_cut_record& cut : trace_.server_cuts) {
+    if (cut.instance.value == instance && cut.to == base::time_point::max()) cut.to = now_;
+  }
+}
+
+bool world::CutForwardCall(const forward_server::held_call& held) {
+  base::time_point& connected = forward_.connected[{held.instance, held.call.server.value}];
+  const auto cut = forward_.server_cuts.find(held.instance);
+  if (cut == forward_.server_cuts.end()) {
+    connected = now_;
+    return false;
+  }
+  const bool open = !held.call.new_connection && connected != base::time_point{} && now_ - connected < kMaxIdle;
+  if (open && cut->second == server_cut_kind::kNewRefused) {
+    connected = now_;
+    return false;
+  }
+  trace_.forward_calls[held.traced].unreachable = true;
+  // A call on an open connection hangs until its deadline.
+  if (cut->second == server_cut_kind::kSilent && open) return true;
+  const base::duration delay = cut->second == server_cut_kind::kSilent ? kConnectTimeout : std::chrono::milliseconds(1);
+  Schedule(delay, [this, held] {
+    if (!forward_.open.contains({held.instance, held.life, held.call.call.value})) return;
+    EndForwardCall(held, Failure(error_kind::kConnectFailed, executed_state::kNo), true);
+  });
+  return true;
+}
+
 void world::ProbeForwardServer(process& p, const io::probe_server& probe) {
   const auto found = std::find_if(forward_.servers.begin(), forward_.servers.end(),
                                   [&probe](const auto& item) { return item.second.record.address == probe.address; });
   if (found == forward_.servers.end()) return;
-  const base::duration delay = Delay(p.spec.data_centre, found->second.record.data_centre.value);
-  Schedule(2 * delay, [this, id = p.spec.id, life = p.life, probe, server = found->first] {
-    Deliver(id, life, io::server_probe_ended{probe.probe, forward_.servers.at(server).up});
+  const auto cut = forward_.server_cuts.find(p.spec.id);
+  const bool reaches = cut == forward_.server_cuts.end();
+  const base::duration delay = !reaches && cut->second == server_cut_kind::kSilent
+                                   ? kConnectTimeout
+                                   : 2 * Delay(p.spec.data_centre, found->second.record.data_centre.value);
+  Schedule(delay, [this, id = p.spec.id, life = p.life, probe, server = found->first, reaches] {
+    Deliver(id, life, io::server_probe_ended{probe.probe, reaches && forward_.servers.at(server).up});
   });
 }
 
@@ -304,6 +362,10 @@
                                        : Delay(ProcessOf(held.instance).spec.data_centre,
                                                forward_.servers.at(held.call.server.value).record.data_centre.value);
   Schedule(delay, [this, held, result = std::move(result), at_once] {
+    const auto cut = forward_.server_cuts.find(held.instance);
+    // An answer does not arrive over connections that hang.
+    const bool lost = !at_once && cut != forward_.server_cuts.end() && cut->second == server_cut_kind::kSilent;
+    if (lost) return;
     const bool open = forward_.open.erase({held.instance, held.life, held.call.call.value}) > 0;
     if (open || at_once) Deliver(held.instance, held.life, io::server_call_ended{held.call.call, result});
   });
@@ -374,7 +436,8 @@
   const std::string instance = usable[base::NextBelow(random_, usable.size())];
   const std::size_t index = trace_.forward_tries.size();
   const std::string attempt = fmt::format("f{}.{}", request, number);
-  trace_.forward_tries.push_back({request, attempt, route, content, now_, base::instance_id(instance), {}, {}, false});
+  trace_.forward_tries.push_back(
+      {request, attempt, route, content, now_, base::instance_id(instance), number, {}, {}, false});
   forward_callers_[index] = {first_sent, number};
   Schedule(network_.from_callers, [this, index, instance, first_sent, number] {
     process& p = ProcessOf(instance);
