Pass requests on to other instances while the links to the backend servers are lost

Cause: an instance takes each failed call for a fault of its server, so that it never learns that its own links are at fault; and it can serve a request over its own links only. It ejected all servers one by one, and the directory went on naming it. Class of fault: a failure that is common to all is attributed to each of them.

An instance whose calls to several servers fail without an answer in between probes five servers. If none accepts a connection, it passes its requests on to an instance that reaches the servers, states that it is cut off, and is left out of the directory's answers. A request that must not be repeated is passed on once, and again only on the word that it was not executed; idempotent ones within the attempts of their route and the budget of repeated sends. If no instance is known to reach the servers, requests are refused at once. Open connections that live on are used for idempotent requests. When a probe succeeds, ejections of that time are forgotten.

A server that refuses connections counts as crashed only once another one is reached, so that a cut makes no request a suspect.

Ruled out: leaving the directory alone. Callers keep addresses for up to six seconds, and hold connections.

--- a/core/base/error_kind.h
+++ b/core/base/error_kind.h
@@ -92,6 +92,11 @@
 struct error {
   error_kind kind = error_kind::kInternal;
   std::string detail;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(kind, detail);
+  }
 };
 
 template <class T>
--- a/core/forwarding/answers.cc
+++ b/core/forwarding/answers.cc
@@ -23,6 +23,19 @@
   return std::to_string(base::ToMilliseconds(now - since));
 }
 
+/// Answers the caller, or the instance that passed the request on. `attempts` is the number of servers of a service
+/// that the request may have reached.
+void Reply(instance::context& ctx, const request_source& source, const request_ptr& content, std::uint32_t attempts,
+           answer&& reply) {
+  if (!source.origin.has_value()) {
+    ctx.out.emplace_back(io::reply_forwarded{source.handle, content, std::move(reply)});
+    return;
+  }
+  const base::instance_ref& instance = source.origin->instance;
+  instance::SendToPeer(ctx, instance.id,
+                       peer::relay_answer{instance, source.origin->token, attempts, std::move(reply)});
+}
+
 }  // namespace
 
 int StatusOfFailure(error_kind kind, executed_state executed) {
@@ -96,10 +109,13 @@
     }
   }
   LogRequest(tables.history, ctx, request.content->attempt, "answer", std::move(fields));
-  ctx.out.emplace_back(io::reply_forwarded{handle, request.content, std::move(reply)});
+  std::uint32_t attempts = 0;
+  for (const request_part& part : request.parts)
+    attempts = std::max(attempts, part.attempts);
+  Reply(ctx, {handle, request.origin}, request.content, attempts, std::move(reply));
 }
 
-void Refuse(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle, const request_ptr& content,
+void Refuse(forwarding_tables& tables, instance::context& ctx, const request_source& source, const request_ptr& content,
             base::error failure, std::optional<base::duration> retry_after) {
   answer reply = MakeFailure(std::move(failure), executed_state::kNo, retry_after);
   LogRequest(tables.history, ctx, content->attempt, "refuse",
@@ -108,7 +124,7 @@
               {"status", std::to_string(reply.status)},
               {"error", std::string(ToString(reply.failure->kind))},
               {"detail", reply.failure->detail}});
-  ctx.out.emplace_back(io::reply_forwarded{handle, content, std::move(reply)});
+  Reply(ctx, source, content, 0, std::move(reply));
 }
 
 }  // namespace limpetrouter::core::forwarding
--- a/core/forwarding/answers.h
+++ b/core/forwarding/answers.h
@@ -25,8 +25,15 @@
 /// Sends the answer and logs it with the data behind it, such as route, configuration version and number of calls.
 void SendAnswer(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle,
                 const active_request& request, answer reply);
+/// Where a request came from.
+struct request_source {
+  base::reply_handle handle;
+  /// Set if another instance passed the request on.
+  std::optional<relay_origin> origin;
+};
+
 /// Sends and logs a failure for a request that is refused before any call is started.
-void Refuse(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle, const request_ptr& content,
+void Refuse(forwarding_tables& tables, instance::context& ctx, const request_source& source, const request_ptr& content,
             base::error failure, std::optional<base::duration> retry_after);
 
 }  // namespace limpetrouter::core::forwarding
--- a/core/forwarding/crash_suspects.cc
+++ b/core/forwarding/crash_suspects.cc
@@ -61,11 +61,13 @@
                      [](const request_part& part) { return !part.calls.empty(); });
 }
 
-/// True if the probe of a server that the part was sent to is running.
+/// True if it is not known yet whether a server that the part was sent to has crashed.
 bool IsProbed(const forwarding_tables& tables, const request_part& part) {
-  return std::any_of(tables.probes.begin(), tables.probes.end(), [&part](const auto& item) {
-    return std::find(part.tried.begin(), part.tried.end(), item.second.server) != part.tried.end();
-  });
+  const bool undecided = std::any_of(part.tried.begin(), part.tried.end(),
+                                     [&tables](const auto& id) { return tables.contact.refusing.contains(id); });
+  return undecided || std::any_of(tables.probes.begin(), tables.probes.end(), [&part](const auto& item) {
+           return std::find(part.tried.begin(), part.tried.end(), item.second.server) != part.tried.end();
+         });
 }
 
 }  // namespace
--- a/core/forwarding/directory.cc
+++ b/core/forwarding/directory.cc
@@ -45,6 +45,8 @@
   /// True if the instance is in the caller's data centre.
   bool same_data_centre = false;
   bool busy = false;
+  /// True if the instance has lost its links to the backend servers.
+  bool cut_off = false;
 };
 
 std::vector<candidate> Candidates(const forwarding_tables& tables, const instance::context& ctx,
@@ -53,14 +55,18 @@
   const membership::identity& self = ctx.members.self;
   if (!ctx.leaving && tables.routing != nullptr && tables.servers.known) {
     found.push_back({self.http_address, true, self.capacity, self.data_centre == from,
-                     membership::IsBusy(ctx.facts, self.ref.id, ctx.now)});
+                     membership::IsBusy(ctx.facts, self.ref.id, ctx.now),
+                     membership::IsCutOff(ctx.facts, self.ref.id, ctx.now)});
   }
   for (const auto& [id, entry] : ctx.members.members) {
     const bool usable = entry.info.state == peer::member_state::kAlive && entry.info.member.incarnation.value != 0;
     if (!usable || entry.info.http_address.empty()) continue;
     found.push_back({entry.info.http_address, false, entry.info.capacity, entry.info.data_centre == from,
-                     membership::IsBusy(ctx.facts, id, ctx.now)});
+                     membership::IsBusy(ctx.facts, id, ctx.now), membership::IsCutOff(ctx.facts, id, ctx.now)});
   }
+  // Instances without links to the backend servers pass requests on to the others, which callers can reach directly.
+  const bool all_cut_off = std::all_of(found.begin(), found.end(), [](const candidate& each) { return each.cut_off; });
+  if (!all_cut_off) std::erase_if(found, [](const candidate& each) { return each.cut_off; });
   return found;
 }
 
--- a/core/forwarding/forwarding.cc
+++ b/core/forwarding/forwarding.cc
@@ -10,6 +10,7 @@
 #include "core/forwarding/rate_limit.h"
 #include "core/forwarding/requests.h"
 #include "core/forwarding/retry_budget.h"
+#include "core/forwarding/server_contact.h"
 
 namespace limpetrouter::core::forwarding {
 namespace {
@@ -92,13 +93,17 @@
   if (changes.has_value()) Apply(tables, ctx, *changes);
 }
 
-void HandlePause(forwarding_tables& tables, instance::context& ctx) { RestartRead(tables.store, ctx.now); }
+void HandlePause(forwarding_tables& tables, instance::context& ctx) {
+  RestartRead(tables.store, ctx.now);
+  ResetContact(tables, ctx.now);
+}
 
 void RunForwarding(forwarding_tables& tables, instance::context& ctx) {
   if (!tables.enabled) return;
   RunLoadReport(tables, ctx);
   RunSpread(tables, ctx);
   if (MustRead(tables, ctx)) RunReader(tables.store, ctx);
+  RunContact(tables, ctx);
   RunRequests(tables, ctx);
   const bool ready = IsReady(tables) && !ctx.leaving;
   if (ready != tables.reported_ready) ctx.out.emplace_back(io::report_readiness{ready});
--- a/core/forwarding/messages.h
+++ b/core/forwarding/messages.h
@@ -40,6 +40,12 @@
   header_fields headers;
   std::string body;
   base::time_point received{};
+
+  /// Leaves out `received`, which is a time of the clock of this instance.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(method, target, path, host, attempt, client_timeout, headers, body);
+  }
 };
 
 using request_ptr = std::shared_ptr<const request>;
@@ -99,7 +105,12 @@
   /// For a sharded route: the proofs of the parts that were received, and the number of shards whose part is missing.
   bool merged = false;
   std::vector<std::string> signatures;
-  std::size_t missing_parts = 0;
+  std::uint64_t missing_parts = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(failure, executed, status, retry_after, headers, body, merged, signatures, missing_parts);
+  }
 };
 
 /// A point in the history of the platform's store. Revisions are comparable only within one epoch.
--- a/core/forwarding/request_calls.cc
+++ b/core/forwarding/request_calls.cc
@@ -36,7 +36,7 @@
 
 /// True if the part may be sent to another server.
 bool MayRetry(const instance::context& ctx, const active_request& request, const request_part& part) {
-  if (part.attempts >= request.route->max_attempts) return false;
+  if (part.attempts >= request.max_attempts) return false;
   if (part.tried.size() >= part.attempts + kMaxUnreachable) return false;
   // The request may have been withheld in the meantime because it crashes servers.
   if (membership::IsWithheld(ctx.facts, request.fingerprint, ctx.now)) return false;
@@ -47,7 +47,7 @@
 void HedgePart(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle, active_request& request,
                std::size_t index, base::duration delay) {
   request_part& part = request.parts[index];
-  if (part.result.has_value() || part.calls.size() != 1 || part.attempts >= request.route->max_attempts) return;
+  if (part.result.has_value() || part.calls.size() != 1 || part.attempts >= request.max_attempts) return;
   if (ctx.now < part.next_hedge || MayCrashServers(request)) return;
   const call& running = tables.calls.at(part.calls.front());
   if (ctx.now - running.started < delay) return;
@@ -159,7 +159,7 @@
 void ContinuePart(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle, active_request& request,
                   std::size_t index, bool reached_server) {
   request_part& part = request.parts[index];
-  if (!part.calls.empty() || part.failed || part.held) return;
+  if (!part.calls.empty() || part.failed || part.held || request.relay.has_value()) return;
   const bool retry = MayRetry(ctx, request, part) && ctx.now + kAnswerMargin < request.deadline &&
                      (!reached_server || TrySpendRetryBudget(tables, part.service, extra_call_kind::kRetry, ctx.now));
   if (!retry) {
--- a/core/forwarding/request_outcome.cc
+++ b/core/forwarding/request_outcome.cc
@@ -9,6 +9,7 @@
 
 #include "core/forwarding/answers.h"
 #include "core/forwarding/rate_limit.h"
+#include "core/forwarding/relay.h"
 
 namespace limpetrouter::core::forwarding {
 namespace {
@@ -69,6 +70,7 @@
   for (const request_part& part : request.parts) {
     if (!part.calls.empty()) executed = CombineExecuted(executed, executed_state::kUnknown);
   }
+  if (request.relay.has_value()) executed = CombineExecuted(executed, executed_state::kUnknown);
   return MakeFailure({kind, DescribeMissingParts(request)}, executed, RetryAfter(tables, request, now));
 }
 
@@ -104,6 +106,7 @@
   }
   const bool coverage_unreachable = !ReachesCoverage(p.total - p.failed, request);
   if (!coverage_unreachable && ctx.now < request.deadline - kAnswerMargin) return false;
+  if (coverage_unreachable && MayRelay(tables, ctx, request) && StartRelay(tables, ctx, handle, request)) return false;
   error_kind kind = coverage_unreachable ? error_kind::kNoUsableReplica : error_kind::kDeadlineExceeded;
   if (coverage_unreachable && request.last_failure == error_kind::kOverloaded) kind = error_kind::kOverloaded;
   FinishRequest(tables, ctx, handle, MakeRequestFailure(tables, request, kind, ctx.now));
@@ -119,6 +122,7 @@
   }
   const bool exhausted = part.failed && part.calls.empty();
   if (!exhausted && ctx.now < request.deadline) return false;
+  if (exhausted && MayRelay(tables, ctx, request) && StartRelay(tables, ctx, handle, request)) return false;
   if (part.fallback.has_value() && part.calls.empty()) {
     FinishRequest(tables, ctx, handle, MakeForwardedAnswer(std::move(*part.fallback)));
     return true;
@@ -153,6 +157,7 @@
 void FinishRequest(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle, answer reply) {
   const auto found = tables.requests.find(handle);
   active_request& request = found->second;
+  CancelRelay(tables, ctx, request);
   SendAnswer(tables, ctx, handle, request, std::move(reply));
   ReleaseCalls(tables, ctx, request);
   tables.requests.erase(found);
--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -67,6 +68,18 @@
   base::time_point next_hedge{};
 };
 
+/// The instance that passed a request on to this one.
+struct relay_origin {
+  base::instance_ref instance;
+  std::uint64_t token = 0;
+};
+
+/// A request that was passed on to another instance.
+struct running_relay {
+  std::uint64_t token = 0;
+  base::instance_id target;
+};
+
 struct active_request {
   request_ptr content;
   /// Pins the version of the configuration for the duration of the request.
@@ -85,6 +98,17 @@
   std::uint32_t calls = 0;
   std::uint32_t hedges = 0;
   std::uint32_t retries = 0;
+  /// Maximum number of servers of a service that the request may be sent to.
+  std::uint32_t max_attempts = 1;
+  /// True if the request counts for the budgets of repeated sends of this instance.
+  bool counted = false;
+  /// Set if another instance passed the request on to this one.
+  std::optional<relay_origin> origin;
+  /// Set while another instance handles the request.
+  std::optional<running_relay> relay;
+  /// Instances that the request was passed on to, and the number of servers of a service that they may have reached.
+  std::vector<base::instance_id> relayed_to;
+  std::uint32_t relayed_attempts = 0;
 };
 
 inline bool IsIdempotent(const active_request& request) { return request.route->repeat == repeat_policy::kIdempotent; }
@@ -97,6 +121,35 @@
   base::time_point started{};
 };
 
+enum class contact_state : std::uint8_t {
+  kConnected,
+  /// New connections to the servers fail, and those that are open may still work.
+  kNoNewConnections,
+  kCutOff,
+};
+
+/// What this instance knows about its own links to the backend servers.
+struct server_contact {
+  contact_state state = contact_state::kConnected;
+  /// When the links were lost, or last restored.
+  base::time_point since{};
+  /// When a server last answered, and when one last accepted a connection.
+  base::time_point last_answer{};
+  base::time_point last_connection{};
+  /// Servers that have not answered a call since the last answer, and that have not accepted a connection since the
+  /// last connection.
+  std::set<base::backend_server_id> unanswering;
+  std::set<base::backend_server_id> unreachable;
+  /// Servers that refused a connection after they lost calls, until it is known whether this instance reaches others.
+  std::set<base::backend_server_id> refusing;
+  base::time_point next_check{};
+  /// Probes whose outcomes decide about the state.
+  std::set<probe_id> probes;
+  base::time_point probes_started{};
+  base::time_point next_probes{};
+  base::time_point next_statement{};
+};
+
 /// An instance that receives from this one what the platform publishes.
 struct follower {
   store_position position;
@@ -140,6 +193,10 @@
   std::uint64_t next_call = 1;
   std::map<probe_id, running_probe> probes;
   std::uint64_t next_probe = 1;
+  server_contact contact;
+  /// Requests that other instances handle for this one, by token.
+  std::map<std::uint64_t, base::reply_handle> relays;
+  std::uint64_t next_relay = 1;
   request_history history;
   /// Latency of successful calls by route name, from the start of the call to its answer.
   std::map<std::string, routing::latency_window> latency;
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -9,10 +9,12 @@
 #include "core/forwarding/answers.h"
 #include "core/forwarding/crash_suspects.h"
 #include "core/forwarding/rate_limit.h"
+#include "core/forwarding/relay.h"
 #include "core/forwarding/request_calls.h"
 #include "core/forwarding/request_outcome.h"
 #include "core/forwarding/retry_budget.h"
 #include "core/forwarding/server_choice.h"
+#include "core/forwarding/server_contact.h"
 #include "core/forwarding/server_probes.h"
 #include "core/membership/fact_table.h"
 
@@ -81,7 +83,7 @@
   // A connection that is accepted and then reset may exceed the server's connection limit. Only a refused connection
   // shows that no process listens.
   if (result.failure == error_kind::kConnectFailed) {
-    NoteServerDown(target, ctx);
+    NoteRefusal(tables, ctx, ended.server);
   } else if (result.failure == error_kind::kConnectionLost) {
     NoteLostCall(target, {ended.fingerprint, ended.started, ctx.now, EstimateOtherWork(target, ctx.now)});
     ProbeAfterLostCall(tables, ctx, target);
@@ -105,7 +107,7 @@
 void AdvanceRequest(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle) {
   active_request& request = tables.requests.at(handle);
   ResumeHeldParts(tables, ctx, handle, request);
-  if (CheckProgress(tables, ctx, handle) || !IsIdempotent(request)) return;
+  if (CheckProgress(tables, ctx, handle) || !IsIdempotent(request) || request.relay.has_value()) return;
   HedgeParts(tables, ctx, handle, request);
 }
 
@@ -160,17 +162,39 @@
   return true;
 }
 
+/// Passes a new request on to another instance, or refuses it, if this instance cannot handle it because it has lost
+/// its links to the servers. Returns false if the request may succeed here.
+bool HandleWithoutServers(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle,
+                          active_request& request) {
+  // Calls of idempotent requests may use connections that are still open.
+  if (!IsCutOff(tables) && IsIdempotent(request)) return false;
+  if (MayRelay(tables, ctx, request) && StartRelay(tables, ctx, handle, request)) return true;
+  if (!IsCutOff(tables)) return false;
+  FinishRequest(tables, ctx, handle,
+                MakeFailure({error_kind::kNoUsableReplica, "this instance has lost its links to the backend servers"},
+                            executed_state::kNo, kDefaultRetryAfter));
+  return true;
+}
+
 }  // namespace
 
 void AcceptRequest(forwarding_tables& tables, instance::context& ctx, const io::request_received& event) {
-  const request_ptr& content = event.request;
+  acceptance accepted;
+  accepted.handle = event.handle;
+  AcceptRequest(tables, ctx, event.request, accepted);
+}
+
+void AcceptRequest(forwarding_tables& tables, instance::context& ctx, const request_ptr& content,
+                   const acceptance& accepted) {
+  const base::reply_handle handle = accepted.handle;
+  const request_source source{handle, accepted.origin};
   if (tables.routing == nullptr) {
-    return Refuse(tables, ctx, event.handle, content,
-                  {error_kind::kNoConfiguration, "no configuration has been read yet"}, kDefaultRetryAfter);
+    return Refuse(tables, ctx, source, content, {error_kind::kNoConfiguration, "no configuration has been read yet"},
+                  kDefaultRetryAfter);
   }
   const route* const route = FindRoute(*tables.routing, content->host, content->path);
   if (route == nullptr) {
-    return Refuse(tables, ctx, event.handle, content,
+    return Refuse(tables, ctx, source, content,
                   {error_kind::kUnknownRoute, fmt::format("configuration version {} has no route for host {}, path {}",
                                                           tables.routing->version, content->host, content->path)},
                   std::nullopt);
@@ -182,12 +206,12 @@
   request.fingerprint = Fingerprint(*content);
   request.deadline = content->received + std::min(content->client_timeout.value_or(route->timeout), route->timeout);
   if (membership::IsWithheld(ctx.facts, request.fingerprint, ctx.now)) {
-    return Refuse(tables, ctx, event.handle, content,
+    return Refuse(tables, ctx, source, content,
                   {error_kind::kRequestWithheld, "an identical request crashed backend servers"}, kMaxRetryAfter);
   }
   request.cautious = membership::IsSuspected(ctx.facts, request.fingerprint, ctx.now);
   if (ctx.now >= request.deadline) {
-    return Refuse(tables, ctx, event.handle, content,
+    return Refuse(tables, ctx, source, content,
                   {error_kind::kDeadlineExceeded, "the deadline had passed before the request was accepted"},
                   std::nullopt);
   }
@@ -197,12 +221,16 @@
     const std::size_t turn = NextService(tables.round_robin[route->name], route->split);
     request.parts.emplace_back().service = route->split[turn].service;
   }
-  active_request& added = tables.requests.emplace(event.handle, std::move(request)).first->second;
+  request.max_attempts = std::min(route->max_attempts, accepted.max_attempts);
+  request.origin = accepted.origin;
+  active_request& added = tables.requests.emplace(handle, std::move(request)).first->second;
+  if (HasNoNewConnections(tables) && HandleWithoutServers(tables, ctx, handle, added)) return;
+  added.counted = !accepted.counted_elsewhere;
   // A sharded request that cannot reach its coverage is refused before anything is sent.
   std::vector<choice> choices;
   std::size_t possible = 0;
   for (request_part& part : added.parts) {
-    CountRequest(tables, part.service, ctx.now);
+    if (added.counted) CountRequest(tables, part.service, ctx.now);
     const choice chosen = Choose(tables, ctx, added, part, false);
     part.failed = chosen.state == choice_state::kNone || chosen.state == choice_state::kLimited;
     part.waiting = chosen.state == choice_state::kFull;
@@ -211,7 +239,7 @@
     choices.push_back(chosen);
   }
   if (IsSharded(added) && !ReachesCoverage(possible, added)) {
-    CheckProgress(tables, ctx, event.handle);
+    CheckProgress(tables, ctx, handle);
     return;
   }
   for (std::size_t i = 0; i < added.parts.size(); ++i) {
@@ -220,14 +248,15 @@
       added.parts[i].held = true;
       continue;
     }
-    StartCall(tables, ctx, event.handle, added, i, choices[i], send_purpose::kFirst);
+    StartCall(tables, ctx, handle, added, i, choices[i], send_purpose::kFirst);
   }
-  if (!RefuseIfQueueTooLong(tables, ctx, event.handle)) CheckProgress(tables, ctx, event.handle);
+  if (!RefuseIfQueueTooLong(tables, ctx, handle)) CheckProgress(tables, ctx, handle);
 }
 
 void AbandonRequest(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle) {
   const auto found = tables.requests.find(handle);
   if (found == tables.requests.end()) return;
+  CancelRelay(tables, ctx, found->second);
   LogRequest(tables.history, ctx, found->second.content->attempt, "abandoned",
              {{"route", found->second.route->name}, {"calls", std::to_string(found->second.calls)}});
   ReleaseCalls(tables, ctx, found->second);
@@ -242,6 +271,7 @@
   tables.call_thread_load = event.result.call_thread_load;
   tables.call_thread_load_at = ctx.now;
   NoteServerResult(tables, ctx, event.call, ended, event.result);
+  NoteContact(tables, ctx, ended, event.result);
   const auto active = tables.requests.find(ended.request);
   if (active == tables.requests.end()) {
     DispatchWaitingParts(tables, ctx);
@@ -273,6 +303,7 @@
 void RunRequests(forwarding_tables& tables, instance::context& ctx) {
   for (auto& [name, window] : tables.latency)
     routing::RefreshSummary(window, 0, ctx.now);
+  RelayUnanswered(tables, ctx);
   DispatchWaitingParts(tables, ctx);
   std::vector<base::reply_handle> handles;
   handles.reserve(tables.requests.size());
--- a/core/forwarding/server_probes.cc
+++ b/core/forwarding/server_probes.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <string>
 
-#include "core/forwarding/crash_suspects.h"
 #include "core/forwarding/server_choice.h"
+#include "core/forwarding/server_contact.h"
 
 namespace limpetrouter::core::forwarding {
 namespace {
@@ -34,6 +34,7 @@
   if (running == tables.probes.end()) return;
   const running_probe ended = running->second;
   tables.probes.erase(running);
+  NoteProbe(tables, ctx, event.probe, event.connected);
   const auto found = tables.servers.servers.find(ended.server);
   if (found == tables.servers.servers.end() || found->second.record.incarnation != ended.incarnation) return;
   server& target = found->second;
@@ -43,7 +44,7 @@
                          {"after_ms", std::to_string(base::ToMilliseconds(ctx.now - ended.started))},
                          {"lost_calls", std::to_string(target.lost_calls.size())}});
   if (event.connected) return;
-  NoteServerDown(target, ctx);
+  NoteRefusal(tables, ctx, ended.server);
   NoteUnreachable(target, ctx.now);
 }
 
--- a/core/instance/instance.cc
+++ b/core/instance/instance.cc
@@ -9,6 +9,7 @@
 #include "core/forwarding/directory.h"
 #include "core/forwarding/forwarding.h"
 #include "core/forwarding/publication_spread.h"
+#include "core/forwarding/relay.h"
 #include "core/forwarding/requests.h"
 #include "core/forwarding/server_probes.h"
 #include "core/gather/gather.h"
@@ -75,6 +76,12 @@
           forwarding::HandlePublicationRequest(instance.forwarding, ctx, header, body);
         } else if constexpr (std::is_same_v<body_type, peer::publication_update>) {
           forwarding::HandlePublicationUpdate(instance.forwarding, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::relay_request>) {
+          forwarding::HandleRelayRequest(instance.forwarding, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::relay_answer>) {
+          forwarding::HandleRelayAnswer(instance.forwarding, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::relay_cancel>) {
+          forwarding::HandleRelayCancel(instance.forwarding, ctx, header, body);
         } else {
           static_assert(std::is_same_v<body_type, peer::announce>);
           membership::HandleAnnounce(membership, ctx, header, body);
@@ -98,6 +105,7 @@
           HandlePeerMessage(instance, ctx, e.message);
         } else if constexpr (std::is_same_v<event_type, io::peer_send_failed>) {
           entry::HandleSendFailed(instance.entry, ctx, e);
+          forwarding::HandleRelaySendFailed(instance.forwarding, ctx, e);
           membership::HandleSendFailed(instance.membership, ctx, e);
         } else if constexpr (std::is_same_v<event_type, io::backend_call_ended>) {
           gather::HandleCallEnded(instance.gather, ctx, e);
--- a/core/membership/fact_table.cc
+++ b/core/membership/fact_table.cc
@@ -72,7 +72,8 @@
 }
 
 bool MergeTimed(fact_table& table, const peer::fact& fact, base::duration lifetime, base::time_point now) {
-  if (FindUnexpired(table, fact.kind, fact.subject, now) != nullptr) return false;
+  const known_fact* const held = FindUnexpired(table, fact.kind, fact.subject, now);
+  if (held != nullptr && held->fact.revision >= fact.revision) return false;
   Put(table, fact, lifetime, now);
   return true;
 }
@@ -168,6 +169,23 @@
   return FindUnexpired(table, fact_kind::kInstanceBusy, id.value, now) != nullptr;
 }
 
+void RecordCutOff(fact_table& table, const base::instance_id& id, bool cut_off, base::duration lifetime,
+                  base::time_point now) {
+  const known_fact* const held = Find(table, fact_kind::kInstanceCutOff, id.value);
+  peer::fact fact;
+  fact.kind = fact_kind::kInstanceCutOff;
+  fact.subject = id.value;
+  fact.revision = held == nullptr ? 1 : held->fact.revision + 1;
+  fact.boot = cut_off ? 1 : 0;
+  Put(table, fact, lifetime, now);
+}
+
+bool IsCutOff(const fact_table& table, const base::instance_id& id, base::time_point now) {
+  if (table.facts.empty()) return false;
+  const known_fact* const known = FindUnexpired(table, fact_kind::kInstanceCutOff, id.value, now);
+  return known != nullptr && known->fact.boot != 0;
+}
+
 void RecordSuspected(fact_table& table, base::fingerprint_id fingerprint, const crash_suspicion& crash,
                      base::duration lifetime, base::time_point now) {
   peer::fact fact;
--- a/core/membership/fact_table.h
+++ b/core/membership/fact_table.h
@@ -63,6 +63,13 @@
 
 bool IsBusy(const fact_table& table, const base::instance_id& id, base::time_point now);
 
+/// Records whether the instance is cut off from the backend servers. Replaces its earlier statement, and is repeated
+/// before `lifetime` is over for as long as it is cut off.
+void RecordCutOff(fact_table& table, const base::instance_id& id, bool cut_off, base::duration lifetime,
+                  base::time_point now);
+
+bool IsCutOff(const fact_table& table, const base::instance_id& id, base::time_point now);
+
 /// A crash of a backend server that a request may have caused.
 struct crash_suspicion {
   /// Hash of the id of the backend server that crashed.
--- a/core/peer/codec.cc
+++ b/core/peer/codec.cc
@@ -123,7 +123,7 @@
     if (update.state > member_state::kDead) throw std::range_error("unknown member state");
   }
   void operator()(const fact& fact) const {
-    if (fact.kind > fact_kind::kInstanceBusy) throw std::range_error("unknown fact kind");
+    if (fact.kind > fact_kind::kInstanceCutOff) throw std::range_error("unknown fact kind");
   }
   void operator()(base::error_kind kind) const {
     if (static_cast<std::size_t>(kind) >= base::kErrorKindCount) throw std::range_error("unknown error kind");
@@ -155,6 +155,9 @@
           }
         } else if constexpr (std::is_same_v<body_type, forward_answer>) {
           check(content.answer);
+        } else if constexpr (std::is_same_v<body_type, relay_answer>) {
+          check(content.answer.executed);
+          if (content.answer.failure.has_value()) check(content.answer.failure->kind);
         } else if constexpr (std::is_same_v<body_type, table_exchange>) {
           check(content.members, content.facts);
         } else if constexpr (std::is_same_v<body_type, probe> || std::is_same_v<body_type, probe_ack> ||
--- a/core/peer/messages.h
+++ b/core/peer/messages.h
@@ -41,20 +41,24 @@
   kRequestWithheld,
   kRequestSuspected,
   kDrainEnded,
-  kInstanceBusy
+  kInstanceBusy,
+  kInstanceCutOff
 };
 
 /// A short-lived statement that is gossiped to all instances.
 struct fact {
   fact_kind kind = fact_kind::kBackendDraining;
-  /// Backend server id, instance id of a busy instance, or fingerprint as 16 hexadecimal digits. For the end of a
-  /// drain: backend server id, "/" and the incarnation that has ended as 16 hexadecimal digits.
+  /// Backend server id, instance id of an instance that is busy or cut off from the backend servers, or fingerprint as
+  /// 16 hexadecimal digits. For the end of a drain: backend server id, "/" and the incarnation that has ended as 16
+  /// hexadecimal digits.
   std::string subject;
   /// For a drain: the generation of the backend server's inventory entry under which the drain was observed. A higher
-  /// generation ends the drain. For a suspected request: 1 if no other request can have caused the crash.
+  /// generation ends the drain. For a suspected request: 1 if no other request can have caused the crash. For an
+  /// instance that is cut off: the number of the statement; a later one replaces an earlier one.
   std::uint64_t revision = 0;
   /// For a drain: the incarnation of the draining backend server, from its load report; 0 if unknown. For a suspected
-  /// request: hash of the id of the backend server that crashed.
+  /// request: hash of the id of the backend server that crashed. For an instance: 1 if it is cut off from the backend
+  /// servers, 0 if it reaches them again.
   std::uint64_t boot = 0;
   /// Remaining lifetime in microseconds. Not used for drains, which do not expire.
   std::int64_t expires_in_us = 0;
@@ -412,9 +416,53 @@
   }
 };
 
-using message_body = std::variant<gather_request, gather_answer, gather_cancel, forward_request, forward_answer,
-                                  configuration_request, configuration_value, table_exchange, probe, probe_ack,
-                                  indirect_probe, announce, publication_request, publication_update>;
+/// Passes a caller's request on to an instance that reaches the backend servers.
+struct relay_request {
+  /// Identifies the request in the `relay_answer`.
+  std::uint64_t token = 0;
+  /// Time since the sender received the request from its caller, in microseconds.
+  std::int64_t age_us = 0;
+  /// Maximum number of backend servers of a service that the receiver may send the request to.
+  std::uint32_t max_attempts = 1;
+  /// True if the sender has counted the request for the budgets of repeated sends.
+  bool counted = false;
+  forwarding::request request;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(token, age_us, max_attempts, counted, request);
+  }
+};
+
+/// The answer to a `relay_request`.
+struct relay_answer {
+  /// The incarnation of the instance that sent the request.
+  base::instance_ref origin;
+  std::uint64_t token = 0;
+  /// Number of backend servers of a service that the sender may have reached with the request.
+  std::uint32_t attempts = 0;
+  forwarding::answer answer;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(origin, token, attempts, answer);
+  }
+};
+
+/// The caller of a relayed request has disconnected, or its answer is no longer needed.
+struct relay_cancel {
+  std::uint64_t token = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(token);
+  }
+};
+
+using message_body =
+    std::variant<gather_request, gather_answer, gather_cancel, forward_request, forward_answer, configuration_request,
+                 configuration_value, table_exchange, probe, probe_ack, indirect_probe, announce, publication_request,
+                 publication_update, relay_request, relay_answer, relay_cancel>;
 
 struct message {
   message_header header;
--- a/shell/peer_links.cc
+++ b/shell/peer_links.cc
@@ -49,7 +49,8 @@
 /// Returns true for messages whose sender waits for an answer.
 bool ExpectsAnswer(const core::peer::message& message) {
   return std::holds_alternative<core::peer::gather_request>(message.body) ||
-         std::holds_alternative<core::peer::forward_request>(message.body);
+         std::holds_alternative<core::peer::forward_request>(message.body) ||
+         std::holds_alternative<core::peer::relay_request>(message.body);
 }
 
 }  // namespace
@@ -62,7 +63,10 @@
                std::is_same_v<body_type, core::peer::gather_answer> ||
                std::is_same_v<body_type, core::peer::gather_cancel> ||
                std::is_same_v<body_type, core::peer::forward_request> ||
-               std::is_same_v<body_type, core::peer::forward_answer>;
+               std::is_same_v<body_type, core::peer::forward_answer> ||
+               std::is_same_v<body_type, core::peer::relay_request> ||
+               std::is_same_v<body_type, core::peer::relay_answer> ||
+               std::is_same_v<body_type, core::peer::relay_cancel>;
       },
       message.body);
   return data ? message_plane::kData : message_plane::kControl;
--- a/tests/core/forwarding/crash_suspects_test.cc
+++ b/tests/core/forwarding/crash_suspects_test.cc
@@ -1,9 +1,13 @@
 #include "core/forwarding/crash_suspects.h"
 
+#include <set>
+#include <string>
+
 #include <catch2/catch.hpp>
 
 #include "core/forwarding/retry_budget.h"
 #include "core/forwarding/server_choice.h"
+#include "core/forwarding/server_contact.h"
 #include "core/forwarding/server_probes.h"
 #include "core/membership/fact_table.h"
 #include "forwarding_world.h"
@@ -41,6 +45,20 @@
   fixture.tables.servers.servers.at(calls[0].server).record.draining = true;
 }
 
+/// Ends all probes, also those that follow from their outcomes. Probes of the listed servers are refused.
+void EndProbes(forwarding_fixture& fixture, const std::set<std::string>& down) {
+  for (int round = 0; round < 3; ++round) {
+    instance::context ctx = fixture.Context();
+    for (const auto& probe : fixture.Take<io::probe_server>()) {
+      const base::backend_server_id server = fixture.tables.probes.at(probe.probe).server;
+      HandleProbeEnded(fixture.tables, ctx, {probe.probe, !down.contains(server.value)});
+    }
+    fixture.now += milliseconds(5);
+    instance::context next = fixture.Context();
+    RunContact(fixture.tables, next);
+  }
+}
+
 // Guards against a request that crashes one backend server after another, at any instance.
 TEST_CASE("a request whose calls crash two servers is withheld, and other requests are served") {
   forwarding_fixture fixture = FixtureWithServers(4);
@@ -163,15 +181,37 @@
   const auto probes = fixture.Take<io::probe_server>();
   REQUIRE(probes.size() == 1);
   CHECK(probes[0].address == calls[0].address);
+  fixture.out.emplace_back(probes[0]);
   fixture.now += milliseconds(2);
-  instance::context ctx = fixture.Context();
-  HandleProbeEnded(fixture.tables, ctx, {probes[0].probe, connected});
+  EndProbes(fixture, connected ? std::set<std::string>{} : std::set<std::string>{calls[0].server.value});
   CHECK(membership::IsSuspected(fixture.facts, fingerprint, fixture.now) == !connected);
   const bool ejected = fixture.tables.servers.servers.at(calls[0].server).ejected_until > fixture.now;
   CHECK(ejected == !connected);
   CHECK(fixture.tables.probes.empty());
 }
 
+// Guards against requests that are suspected or withheld because the instance lost its own links to all servers.
+TEST_CASE("calls that are lost with the links to all servers make no request a suspect") {
+  forwarding_fixture fixture = FixtureWithServers(4);
+  std::set<std::string> all;
+  for (const auto& [id, each] : fixture.tables.servers.servers)
+    all.insert(id.value);
+  const base::reply_handle handle = fixture.Send({}, "good");
+  const base::fingerprint_id fingerprint = fixture.tables.requests.at(handle).fingerprint;
+  fixture.End(fixture.TakeCalls().at(0),
+              forwarding_fixture::Failed(error_kind::kConnectionLost, executed_state::kUnknown));
+  EndProbes(fixture, all);
+  CHECK(IsCutOff(fixture.tables));
+  CHECK_FALSE(membership::IsSuspected(fixture.facts, fingerprint, fixture.now));
+  // Nor do they when the links are back.
+  fixture.now += seconds(1);
+  instance::context ctx = fixture.Context();
+  RunContact(fixture.tables, ctx);
+  EndProbes(fixture, {});
+  CHECK_FALSE(IsCutOff(fixture.tables));
+  CHECK_FALSE(membership::IsSuspected(fixture.facts, fingerprint, fixture.now));
+}
+
 // Guards against many connections to a server whose connections are reset.
 TEST_CASE("a server that loses calls in quick succession is probed once") {
   forwarding_fixture fixture = FixtureWithServers(1);
@@ -215,13 +255,6 @@
   return fixture;
 }
 
-void EndProbes(forwarding_fixture& fixture, bool connected) {
-  for (const auto& probe : fixture.Take<io::probe_server>()) {
-    instance::context ctx = fixture.Context();
-    HandleProbeEnded(fixture.tables, ctx, {probe.probe, connected});
-  }
-}
-
 // Guards against one sharded request that crashes all servers of its service: each part was sent again to the servers
 // that were left, within milliseconds.
 TEST_CASE("a sharded request whose calls are all lost crashes one server a shard, and is answered after the probes") {
@@ -240,7 +273,10 @@
   fixture.Run(milliseconds(40));
   CHECK(fixture.TakeCalls().empty());
   CHECK(fixture.TakeReplies().empty());
-  EndProbes(fixture, false);
+  std::set<std::string> down;
+  for (const auto& call : first)
+    down.insert(call.server.value);
+  EndProbes(fixture, down);
   CHECK(membership::IsSuspected(fixture.facts, fingerprint, fixture.now));
 }
 
@@ -284,7 +320,7 @@
   }
   fixture.End(canary[0], forwarding_fixture::Failed(error_kind::kConnectionLost, executed_state::kUnknown));
   CHECK(fixture.TakeCalls().empty());
-  EndProbes(fixture, false);
+  EndProbes(fixture, {canary[0].server.value});
   fixture.Run(milliseconds(10));
   CHECK(fixture.TakeCalls().empty());
   const auto replies = fixture.TakeReplies();
