Test of odd entries among those of the backend servers

Another operator's machines ended, or stopped following the list, because of one odd entry. Cannot happen here: entries that are nested 300,000 levels deep, have numbers or ports out of range, or are no text are rejected one by one, from lists and watches, and the entries around them hold.

--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -67,6 +67,70 @@
   CHECK(fixture.server.Requests().at(0).find("serializable=1") != std::string::npos);
 }
 
+std::string EncodeBase64(const std::string& text) {
+  constexpr const char* kDigits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string encoded;
+  for (std::size_t i = 0; i < text.size(); i += 3) {
+    std::uint32_t bits = 0;
+    for (std::size_t j = 0; j < 3; ++j)
+      bits = bits << 8U | (i + j < text.size() ? static_cast<unsigned char>(text[i + j]) : 0U);
+    for (std::size_t j = 0; j < 4; ++j)
+      encoded += i + j <= text.size() ? kDigits[bits >> (18 - 6 * j) & 63U] : '=';
+  }
+  return encoded;
+}
+
+std::string ServerValue(const std::string& address, const std::string& slots, const std::string& more = "") {
+  return R"({"service":"a","address":")" + address + R"(","zone":"z","state":"ready","slots":)" + slots + more + "}";
+}
+
+// Guards against a process that ends, or no longer follows the list, because of an odd entry that another writer has
+// left among those of the backend servers.
+TEST_CASE("an odd entry is rejected, and the entries around it hold") {
+  constexpr std::size_t kDepth = 300'000;
+  const auto odd = GENERATE(values<std::string>({
+      std::string(kDepth, '['),
+      std::string(kDepth, '[') + std::string(kDepth, ']'),
+      R"({"service":)" + std::string(kDepth, '{') + "}",
+      ServerValue("10.0.0.9:80", "1e999"),
+      ServerValue("10.0.0.9:80", "99999999999999999999999"),
+      ServerValue("10.0.0.9:80", "4294967296"),
+      ServerValue("10.0.0.9:80", "-1"),
+      ServerValue("10.0.0.9:80", "5", R"(,"born":1e30)"),
+      ServerValue("10.0.0.9:80", "5", R"(,"seq":18446744073709551615)"),
+      ServerValue("10.0.0.9:80", "5", R"(,"coldLeftMs":99999999999999999999)"),
+      ServerValue("10.0.0.9:65536", "5"),
+      ServerValue("10.0.0.9:0", "5"),
+      ServerValue("10.0.0.9:-1", "5"),
+      ServerValue("10.0.0.9:99999999999999999999", "5"),
+      ServerValue("10.0.0.9:", "5"),
+      std::string("\xff\xfe\x00", 3),
+      "",
+  }));
+  INFO(odd.substr(0, 120));
+  const bool by_watch = GENERATE(false, true);
+  store_fixture fixture([&odd, by_watch](const std::string&) -> shell::scripted_reply {
+    const std::string items = Item("servers/i-1", 3, kServerValue) + "," + Item("servers/odd", 4, EncodeBase64(odd)) +
+                              "," + Item("servers/i-2", 5, kServerValue);
+    const std::string list =
+        by_watch ? R"({"events":[)" + items + "]" : R"({"items":[)" + items + R"(],"hasMore":false)";
+    return {HttpAnswer(200, list + R"(,"currentRev":9})")};
+  });
+  if (by_watch) {
+    fixture.client.Watch({1, 2, std::chrono::milliseconds(100)});
+  } else {
+    fixture.client.List({1, true});
+  }
+  const core::io::event event = fixture.AwaitEvent();
+  REQUIRE(std::holds_alternative<core::io::published_read>(event));
+  const auto& changes = std::get<core::io::published_read>(event).changes;
+  CHECK(changes.position.revision == 9);
+  REQUIRE(changes.servers.size() == 2);
+  CHECK(changes.servers[0].id.value == "i-1");
+  CHECK(changes.servers[1].id.value == "i-2");
+  CHECK(changes.rejected.size() == 1);
+}
+
 // Guards against a lost history, a refusal or a damaged answer that is taken for "no changes".
 TEST_CASE("a watch distinguishes changes, a lost history and failures") {
   struct row {
