Accept an answer only if its header is complete

What callers could see: a success with an empty body, though the server had closed the connection within the header of a 204 or 304 answer. Another operator reported such answers.

Cause: libcurl reports success when a connection closes within a header that announces no body so far. The check for it knew headers without a length only. Now the empty line at the end of the header must have arrived.

Evidence: 3 of 9 rows of the new test failed: a 204 counted as answered, and headers with a length or chunks counted as lost within the body. All 9 pass now.

--- a/shell/transfer.cc
+++ b/shell/transfer.cc
@@ -58,10 +58,13 @@
     return 0;
   }
   t.header_bytes += bytes;
-  if (t.request.method.empty()) return bytes;
   std::string_view line(data, bytes);
   while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
     line.remove_suffix(1);
+  if (line.empty()) t.header_complete = true;
+  // The header of a final answer follows that of an interim one.
+  if (line.starts_with("HTTP/")) t.header_complete = false;
+  if (t.request.method.empty()) return bytes;
   if (line.starts_with("HTTP/")) t.result.headers.clear();
   const auto colon = line.find(':');
   if (colon == std::string_view::npos || line.starts_with("HTTP/")) return bytes;
@@ -106,17 +109,6 @@
   return CURL_PREREQFUNC_OK;
 }
 
-/// Returns true if the connection closed within the header. libcurl treats that as the end of an answer without a body.
-bool EndedInHeader(const transfer& t) {
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  if (!t.result.body.empty() || t.result.status == kNoContent || t.result.status == kNotModified) return false;
-  if (t.request.method == "HEAD") return false;
-  curl_off_t content_length = -1;
-  curl_easy_getinfo(t.handle, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &content_length);
-  return content_length < 0;
-}
-
 void SetOpaqueOptions(transfer& t) {
   CURL* handle = t.handle;
   curl_easy_setopt(handle, CURLOPT_REQUEST_TARGET, t.request.target.c_str());
@@ -211,8 +203,9 @@
 transfer_outcome OutcomeOf(const transfer& t, CURLcode code) {
   switch (code) {
     case CURLE_OK:
-      if (t.request.connect_only) return transfer_outcome::kAnswered;
-      return EndedInHeader(t) ? transfer_outcome::kConnectionLost : transfer_outcome::kAnswered;
+      // libcurl takes a connection that closes within the header for the end of an answer without a body.
+      return t.request.connect_only || t.header_complete ? transfer_outcome::kAnswered
+                                                         : transfer_outcome::kConnectionLost;
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
     case CURLE_URL_MALFORMAT:
@@ -226,7 +219,7 @@
     case CURLE_ABORTED_BY_CALLBACK:
       return t.deadline_passed ? transfer_outcome::kDeadlineExceeded : transfer_outcome::kConnectionLost;
     case CURLE_PARTIAL_FILE:
-      return transfer_outcome::kTruncated;
+      return t.header_complete ? transfer_outcome::kTruncated : transfer_outcome::kConnectionLost;
     // libcurl reports a header line beyond its own limit as lack of memory.
     case CURLE_OUT_OF_MEMORY:
     case CURLE_WRITE_ERROR:
--- a/shell/transfer.h
+++ b/shell/transfer.h
@@ -32,6 +32,8 @@
   answer_buffers* buffers = nullptr;
   /// Bytes of the header so far, including interim answers and trailers.
   std::size_t header_bytes = 0;
+  /// True once the empty line after the final answer's header has arrived.
+  bool header_complete = false;
   bool answer_too_large = false;
   bool deadline_passed = false;
 };
--- a/tests/shell/transfer_pool_test.cc
+++ b/tests/shell/transfer_pool_test.cc
@@ -202,5 +202,38 @@
   CHECK(server.Requests().size() == 1);
 }
 
+// Guards against an answer that broke off within its header and is passed on as complete: libcurl reports success if
+// the header lines that arrived announce no body.
+TEST_CASE("an answer whose header breaks off is not an answer") {
+  struct row {
+    std::string bytes;
+    transfer_outcome outcome;
+  };
+  const auto r = GENERATE(values<row>({
+      {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", transfer_outcome::kConnectionLost},
+      {"HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 0\r\nX-B", transfer_outcome::kConnectionLost},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n", transfer_outcome::kConnectionLost},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", transfer_outcome::kConnectionLost},
+      {"HTTP/1.1 200 OK\r\nX-A: 1\r\n", transfer_outcome::kConnectionLost},
+      {"HTTP/1.1 204 No Content\r\nX-A: 1\r\n", transfer_outcome::kConnectionLost},
+      {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n", transfer_outcome::kConnectionLost},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", transfer_outcome::kAnswered},
+      {"HTTP/1.1 204 No Content\r\nX-A: 1\r\n\r\n", transfer_outcome::kAnswered},
+  }));
+  INFO(r.bytes);
+  scripted_server server([&r](const std::string&) { return scripted_reply{r.bytes, true, {}}; });
+  transfer_pool pool;
+  std::atomic<int> ended{0};
+  std::atomic<transfer_outcome> outcome{transfer_outcome::kCancelled};
+  transfer_request request = OpaqueGet(pool, server.Address(), milliseconds(2'000));
+  request.done = [&](transfer_result&& result) {
+    outcome = result.outcome;
+    ++ended;
+  };
+  pool.Start(std::move(request));
+  REQUIRE(Eventually([&ended] { return ended == 1; }));
+  CHECK(outcome == r.outcome);
+}
+
 }  // namespace
 }  // namespace limpetrouter::shell
