Answer all requests before a leaving instance ends

What callers could see: in a planned stop, requests that came late in the grace period were taken, and their connections closed without an answer when the process ended.

Cause: the end of the process did not look at the requests that were still active, and a leaving instance accepted requests until its last moment.

A request that most likely cannot be answered before the process ends is refused at once, as not executed. When the process ends, each active request is answered: with the parts that have arrived if they suffice, otherwise with 503 if it was not executed and 502 if that is not known. The new tests cover requests that must not be repeated.

limpetctl forwarding shows the state of the links to the servers.

--- a/core/forwarding/forwarding.cc
+++ b/core/forwarding/forwarding.cc
@@ -135,6 +135,9 @@
                     {"age_ms", AgeMs(tables.store.last_success, now)},
                     {"failures", tables.store.failures},
                     {"followers", tables.spread.followers.size()}};
+  report["server_contact"] = {{"state", std::string(ToString(tables.contact.state))},
+                              {"answer_age_ms", AgeMs(tables.contact.last_answer, now)},
+                              {"relayed_requests", tables.relays.size()}};
   return report;
 }
 
--- a/core/forwarding/request_outcome.cc
+++ b/core/forwarding/request_outcome.cc
@@ -163,6 +163,13 @@
   tables.requests.erase(found);
 }
 
+void StopRequest(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle) {
+  active_request& request = tables.requests.at(handle);
+  if (IsSharded(request) && ReachesCoverage(ProgressOf(request).answered, request))
+    return FinishRequest(tables, ctx, handle, MergeAnswer(request));
+  FinishRequest(tables, ctx, handle, MakeRequestFailure(tables, request, error_kind::kInstanceLeaving, ctx.now));
+}
+
 bool CheckProgress(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle) {
   const auto found = tables.requests.find(handle);
   if (found == tables.requests.end()) return true;
--- a/core/forwarding/request_outcome.h
+++ b/core/forwarding/request_outcome.h
@@ -23,6 +23,9 @@
 /// failure of the request.
 void ApplyResult(active_request& request, request_part& part, call_result&& result);
 
+/// Ends a request because the process ends.
+void StopRequest(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle);
+
 /// Answers and ends the request if it is complete, can no longer become complete, or has reached its time limit.
 /// Returns true if the request has ended.
 bool CheckProgress(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle);
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -32,6 +32,9 @@
   return base::fingerprint_id(hash);
 }
 
+/// A request is refused if the process ends before this multiple of its typical time, or before the least time.
+constexpr int kStopMargin = 4;
+constexpr base::duration kMinStopMargin = milliseconds(200);
 /// A connection that is refused or reset within this time was not accepted by the server.
 constexpr base::duration kRefusalTime = milliseconds(50);
 
@@ -162,6 +165,14 @@
   return true;
 }
 
+/// True if the process is about to end before such a request is answered, in all likelihood. The caller still has the
+/// time to use another instance.
+bool IsTooLate(const forwarding_tables& tables, const route& route, base::time_point now) {
+  if (!tables.stops_at.has_value()) return false;
+  const base::duration expected = std::max<base::duration>(kStopMargin * TypicalLatency(tables, route), kMinStopMargin);
+  return now + expected > *tables.stops_at;
+}
+
 /// Passes a new request on to another instance, or refuses it, if this instance cannot handle it because it has lost
 /// its links to the servers. Returns false if the request may succeed here.
 bool HandleWithoutServers(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle,
@@ -199,6 +210,11 @@
                                                           tables.routing->version, content->host, content->path)},
                   std::nullopt);
   }
+  if (IsTooLate(tables, *route, ctx.now)) {
+    return Refuse(tables, ctx, source, content,
+                  {error_kind::kInstanceLeaving, "the instance is shutting down; use another address"},
+                  base::duration{0});
+  }
   active_request request;
   request.content = content;
   request.table = tables.routing;
@@ -263,6 +279,11 @@
   tables.requests.erase(found);
 }
 
+void StopRequests(forwarding_tables& tables, instance::context& ctx) {
+  while (!tables.requests.empty())
+    StopRequest(tables, ctx, tables.requests.begin()->first);
+}
+
 void HandleCallEnded(forwarding_tables& tables, instance::context& ctx, const io::server_call_ended& event) {
   const auto found = tables.calls.find(event.call);
   if (found == tables.calls.end()) return;
--- a/core/forwarding/requests.h
+++ b/core/forwarding/requests.h
@@ -29,6 +29,9 @@
 /// Handles a caller that disconnected. The calls of an idempotent request are cancelled; those of a request that must
 /// not be repeated continue, because their effect may be wanted.
 void AbandonRequest(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle);
+/// Answers all active requests, because the process ends: with the parts that have arrived if they suffice, and with a
+/// failure otherwise.
+void StopRequests(forwarding_tables& tables, instance::context& ctx);
 /// Handles the end of a call: uses its answer, tries another backend server, or fails the request.
 void HandleCallEnded(forwarding_tables& tables, instance::context& ctx, const io::server_call_ended& event);
 /// Sends hedges and waiting parts, ends requests that have reached their time limit, and cancels calls that linger too
--- a/core/forwarding/server_contact.cc
+++ b/core/forwarding/server_contact.cc
@@ -34,18 +34,6 @@
 constexpr base::duration kStatementLifetime = seconds(10);
 constexpr base::duration kStatementInterval = seconds(4);
 
-std::string_view ToString(contact_state state) {
-  switch (state) {
-    case contact_state::kConnected:
-      return "connected";
-    case contact_state::kNoNewConnections:
-      return "no_new_connections";
-    case contact_state::kCutOff:
-      break;
-  }
-  return "cut_off";
-}
-
 void NoteAnswer(server_contact& contact, base::time_point now) {
   contact.last_answer = now;
   contact.unanswering.clear();
@@ -173,6 +161,18 @@
 
 }  // namespace
 
+std::string_view ToString(contact_state state) {
+  switch (state) {
+    case contact_state::kConnected:
+      return "connected";
+    case contact_state::kNoNewConnections:
+      return "no_new_connections";
+    case contact_state::kCutOff:
+      break;
+  }
+  return "cut_off";
+}
+
 void NoteContact(forwarding_tables& tables, instance::context& ctx, const call& ended, const call_result& result) {
   server_contact& contact = tables.contact;
   if (IsAnswered(result)) {
--- a/core/forwarding/server_contact.h
+++ b/core/forwarding/server_contact.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <vector>
+#include <string_view>
 
 #include "core/forwarding/request_table.h"
 #include "core/instance/context.h"
@@ -24,6 +24,7 @@
 /// Discards the observations before a pause of the process, as answers that arrived meanwhile have not been read.
 void ResetContact(forwarding_tables& tables, base::time_point now);
 
+std::string_view ToString(contact_state state);
 /// True if calls to several servers have failed since the last answer or the last accepted connection.
 bool IsInDoubt(const forwarding_tables& tables);
 /// True if a call to a server on a new connection is expected to fail.
--- a/core/instance/instance.cc
+++ b/core/instance/instance.cc
@@ -191,6 +191,8 @@
       instance.forwarding.enabled && now >= instance.leave_started_at + forwarding::MaxLeaveTime(instance.forwarding);
   if (!idle && !overdue) return;
   instance.exited = true;
+  context ctx = MakeContext(instance, now, out);
+  forwarding::StopRequests(instance.forwarding, ctx);
   out.push_back(io::exit_process{});
 }
 
@@ -211,6 +213,7 @@
     instance.leaving = true;
     instance.leave_started_at = now;
     instance.earliest_exit_at = now + LeaveGrace(instance);
+    if (instance.forwarding.enabled) instance.forwarding.stops_at = now + forwarding::MaxLeaveTime(instance.forwarding);
     ++instance.membership.members.version;
   }
   context ctx = MakeContext(instance, now, out);
--- a/tests/core/forwarding/requests_test.cc
+++ b/tests/core/forwarding/requests_test.cc
@@ -310,5 +310,65 @@
   CHECK(MergeRecords(r.parts, r.count, 2) == r.merged);
 }
 
+// Guards against requests that a leaving instance takes shortly before its end and cuts off without an answer.
+TEST_CASE("a leaving instance refuses requests that it cannot finish, and the others are taken") {
+  struct row {
+    milliseconds time_left;
+    bool taken;
+  };
+  const auto r =
+      GENERATE(values<row>({{milliseconds(1'000), true}, {milliseconds(150), false}, {milliseconds(0), false}}));
+  const auto repeat = GENERATE(repeat_policy::kIdempotent, repeat_policy::kAtMostOnce);
+  INFO("time left " << r.time_left.count() << " ms");
+  forwarding_fixture fixture = PlainFixture(repeat);
+  fixture.tables.stops_at = fixture.now + r.time_left;
+  fixture.Send();
+  CHECK(fixture.TakeCalls().size() == (r.taken ? 1 : 0));
+  const auto replies = fixture.TakeReplies();
+  REQUIRE(replies.size() == (r.taken ? 0 : 1));
+  if (r.taken) return;
+  CHECK(replies[0].answer.status == 503);
+  CHECK(replies[0].answer.executed == executed_state::kNo);
+  CHECK(replies[0].answer.failure->kind == error_kind::kInstanceLeaving);
+}
+
+// Guards against callers whose connection ends without an answer when the process ends, and against the promise that a
+// request was not executed which a server may still execute.
+TEST_CASE("an instance that ends answers all its requests") {
+  enum class request_state { kCalled, kNotCalled, kCovered };
+  struct row {
+    request_state state;
+    repeat_policy repeat;
+    int status;
+  };
+  const auto r = GENERATE(values<row>({{request_state::kCalled, repeat_policy::kAtMostOnce, 502},
+                                       {request_state::kCalled, repeat_policy::kIdempotent, 502},
+                                       {request_state::kNotCalled, repeat_policy::kAtMostOnce, 503},
+                                       {request_state::kCovered, repeat_policy::kIdempotent, 200}}));
+  INFO("status " << r.status);
+  forwarding_fixture fixture = r.state == request_state::kCovered ? ShardedFixture(4) : PlainFixture(r.repeat);
+  if (r.state == request_state::kNotCalled) {
+    for (auto& [id, each] : fixture.tables.servers.servers) {
+      each.other_work = 100;
+      each.load_at = fixture.now;
+    }
+  }
+  fixture.Send();
+  const auto calls = fixture.TakeCalls();
+  REQUIRE(calls.empty() == (r.state == request_state::kNotCalled));
+  if (r.state == request_state::kCovered) {
+    for (std::size_t i = 0; i < 3; ++i)
+      fixture.End(calls[i], forwarding_fixture::Served("aaaa"));
+  }
+  REQUIRE(fixture.TakeReplies().empty());
+  instance::context ctx = fixture.Context();
+  StopRequests(fixture.tables, ctx);
+  const auto replies = fixture.TakeReplies();
+  REQUIRE(replies.size() == 1);
+  CHECK(replies[0].answer.status == r.status);
+  CHECK((replies[0].answer.executed == executed_state::kNo) == (r.status == 503));
+  CHECK(fixture.tables.requests.empty());
+}
+
 }  // namespace
 }  // namespace limpetrouter::core::forwarding
