Decide about a server that refuses connections also if no other one can be probed

A request that lost calls is held until it is known whether its servers have crashed. With all other servers draining or missing, that was never decided, so that the request was held until its deadline. The new test failed before. Ejections of the time between the loss of the links and its detection are forgotten, too, when the links are back.

--- a/core/forwarding/server_contact.cc
+++ b/core/forwarding/server_contact.cc
@@ -76,8 +76,8 @@
   }
 }
 
-/// Chooses servers at random, without those that are known to refuse connections.
-std::vector<base::backend_server_id> ChooseProbed(const forwarding_tables& tables, instance::context& ctx) {
+/// Returns the servers that should accept a connection, without those that are known to refuse them.
+std::vector<base::backend_server_id> ProbeCandidates(const forwarding_tables& tables) {
   std::vector<base::backend_server_id> candidates;
   for (const auto& [service, ids] : tables.servers.by_service) {
     for (const base::backend_server_id& id : ids) {
@@ -86,6 +86,11 @@
       if (usable && !tables.contact.refusing.contains(id)) candidates.push_back(id);
     }
   }
+  return candidates;
+}
+
+std::vector<base::backend_server_id> ChooseProbed(const forwarding_tables& tables, instance::context& ctx) {
+  std::vector<base::backend_server_id> candidates = ProbeCandidates(tables);
   const std::size_t count = std::min(kProbedServers, candidates.size());
   for (std::size_t i = 0; i < count; ++i)
     std::swap(candidates[i], candidates[i + base::NextBelow(ctx.random, candidates.size() - i)]);
@@ -103,11 +108,12 @@
 }
 
 /// Decides about the servers that refused connections: they are down if another server has been reached since they
-/// lost their last call, or if there is no other server.
+/// lost their last call, or if there is no other server to compare with.
 void DecideRefusals(forwarding_tables& tables, instance::context& ctx) {
   server_contact& contact = tables.contact;
+  if (contact.refusing.empty()) return;
   const base::time_point reached = std::max(contact.last_answer, contact.last_connection);
-  const bool only_servers = contact.refusing.size() >= tables.servers.servers.size();
+  const bool only_servers = ProbeCandidates(tables).empty();
   std::erase_if(contact.refusing, [&](const base::backend_server_id& id) {
     const auto found = tables.servers.servers.find(id);
     if (found == tables.servers.servers.end() || found->second.lost_calls.empty()) return true;
@@ -145,7 +151,8 @@
                          {"unanswering", std::to_string(contact.unanswering.size())},
                          {"unreachable", std::to_string(contact.unreachable.size())},
                          {"answer_age_ms", std::to_string(base::ToMilliseconds(ctx.now - contact.last_answer))}});
-  if (state == contact_state::kConnected) ForgetEjections(tables, contact.since);
+  // The links were lost some time before that was noticed.
+  if (state == contact_state::kConnected) ForgetEjections(tables, std::min(contact.since, contact.last_answer));
   if (state != contact_state::kConnected) {
     // The calls were lost with the links, so that they say nothing about their requests.
     for (const base::backend_server_id& id : std::exchange(contact.refusing, {})) {
@@ -216,6 +223,7 @@
   const bool stated = membership::IsCutOff(ctx.facts, ctx.members.self.ref.id, ctx.now);
   if (lost != stated || (lost && ctx.now >= contact.next_statement)) Publish(contact, ctx);
   if (!contact.probes.empty()) return;
+  DecideRefusals(tables, ctx);
   if (!contact.refusing.empty()) return StartProbes(tables, ctx);
   if (ctx.now < contact.next_probes) return;
   if (lost || IsInDoubt(tables)) StartProbes(tables, ctx);
--- a/tests/core/forwarding/crash_suspects_test.cc
+++ b/tests/core/forwarding/crash_suspects_test.cc
@@ -212,6 +212,20 @@
   CHECK_FALSE(membership::IsSuspected(fixture.facts, fingerprint, fixture.now));
 }
 
+// Guards against requests that wait for evidence which cannot come: no other server is left to compare with.
+TEST_CASE("a refused probe reveals the crash if all other servers drain") {
+  forwarding_fixture fixture = FixtureWithServers(3);
+  const base::reply_handle handle = fixture.Send({}, "bad");
+  const base::fingerprint_id fingerprint = fixture.tables.requests.at(handle).fingerprint;
+  const auto calls = fixture.TakeCalls();
+  for (auto& [id, each] : fixture.tables.servers.servers)
+    each.record.draining = id != calls.at(0).server;
+  fixture.End(calls[0], forwarding_fixture::Failed(error_kind::kConnectionLost, executed_state::kUnknown));
+  EndProbes(fixture, {calls[0].server.value});
+  CHECK(membership::IsSuspected(fixture.facts, fingerprint, fixture.now));
+  CHECK(fixture.tables.contact.refusing.empty());
+}
+
 // Guards against many connections to a server whose connections are reset.
 TEST_CASE("a server that loses calls in quick succession is probed once") {
   forwarding_fixture fixture = FixtureWithServers(1);
--- a/tests/core/forwarding/relay_test.cc
+++ b/tests/core/forwarding/relay_test.cc
@@ -8,6 +8,7 @@
 #include "core/forwarding/answers.h"
 #include "core/forwarding/directory.h"
 #include "core/forwarding/retry_budget.h"
+#include "core/forwarding/server_choice.h"
 #include "core/forwarding/server_contact.h"
 #include "core/forwarding/server_probes.h"
 #include "core/membership/fact_table.h"
@@ -290,6 +291,33 @@
   CHECK_FALSE(IsCutOff(fixture.tables));
 }
 
+// Guards against servers that stay ejected after the links are back, because calls failed before the loss was noticed.
+TEST_CASE("ejections that the loss of the links caused end when the links are back") {
+  std::vector<forwarding_fixture> fleet = MakeFleet(1, repeat_policy::kIdempotent);
+  forwarding_fixture& fixture = fleet[0];
+  const auto eject = [&fixture](const char* id) {
+    NoteUnreachable(fixture.tables.servers.servers.at(base::backend_server_id(id)), fixture.now);
+  };
+  eject("single-z");
+  fixture.now += milliseconds(10);
+  fixture.tables.contact.last_answer = fixture.now;
+  fixture.now += milliseconds(10);
+  eject("single-x");
+  CutOff(fixture);
+  eject("single-y");
+  fixture.now += milliseconds(300);
+  instance::context ctx = fixture.Context();
+  RunContact(fixture.tables, ctx);
+  for (const auto& probe : fixture.Take<io::probe_server>())
+    HandleProbeEnded(fixture.tables, ctx, {probe.probe, true});
+  const auto is_ejected = [&fixture](const char* id) {
+    return fixture.tables.servers.servers.at(base::backend_server_id(id)).ejected_until > fixture.now;
+  };
+  CHECK_FALSE(is_ejected("single-x"));
+  CHECK_FALSE(is_ejected("single-y"));
+  CHECK(is_ejected("single-z"));
+}
+
 // Guards against an instance that takes failures of some servers for the loss of its links.
 TEST_CASE("an instance that reaches any server is not cut off") {
   std::vector<forwarding_fixture> fleet = MakeFleet(1, repeat_policy::kIdempotent);
