--- a/core/forwarding/crash_suspects.cc
+++ b/core/forwarding/crash_suspects.cc
@@ -37,6 +37,8 @@
   if (since.has_value() && call.started < *since) return;
   const base::duration time = config::limits{}.withhold_time;
   membership::RecordSuspected(ctx.facts, call.fingerprint, {HashOf(server), certain}, time, ctx.now);
+  // The caller sends the request to another instance within milliseconds.
+  ctx.facts.urgent = true;
   const bool withheld = membership::IsWithheld(ctx.facts, call.fingerprint, ctx.now);
   instance::LogDecision(ctx, withheld ? "withhold" : "suspect",
                         {{"fingerprint", base::ToHex(call.fingerprint.value)},
--- a/core/membership/fact_table.h
+++ b/core/membership/fact_table.h
@@ -30,6 +30,8 @@
   std::map<std::pair<peer::fact_kind, std::string>, known_fact> facts;
   /// True if there is a new fact that has not been announced to random peers yet.
   bool announcement_due = false;
+  /// The announcement is due in the next tick, because every millisecond counts.
+  bool urgent = false;
 };
 
 /// Number of messages that carry a new fact: 3 log2(450) of them reach the complete planned fleet with high
--- a/core/membership/spread_queue.cc
+++ b/core/membership/spread_queue.cc
@@ -25,6 +25,9 @@
 constexpr double kMaxTokens = 16;
 constexpr double kTokensPerSecond = 1;
 
+/// New facts of this time share a round of announcements, so that they do not use up the tokens that changes of members
+/// need.
+constexpr base::duration kFactAnnouncementInterval = std::chrono::milliseconds(20);
 constexpr std::size_t kMaxFactsPerMessage = 8;
 /// Leaves space for member updates in a message with facts.
 constexpr std::size_t kMaxFactBytes = 500;
@@ -145,7 +148,10 @@
 
 void RunSpread(membership_tables& tables, instance::context& ctx) {
   spread_queue& spread = tables.spread;
-  if (std::exchange(tables.facts.announcement_due, false)) spread.announce = true;
+  if (ctx.now >= spread.next_fact_announcement || std::exchange(tables.facts.urgent, false)) {
+    spread.next_fact_announcement = ctx.now + kFactAnnouncementInterval;
+    if (std::exchange(tables.facts.announcement_due, false)) spread.announce = true;
+  }
   const auto due = std::partition(spread.repeats.begin(), spread.repeats.end(),
                                   [&ctx](base::time_point time) { return time > ctx.now; });
   if (due != spread.repeats.end()) spread.announce = true;
--- a/core/membership/spread_queue.h
+++ b/core/membership/spread_queue.h
@@ -25,6 +25,7 @@
   /// Token bucket for announcement rounds.
   double tokens = 0;
   base::time_point refilled{};
+  base::time_point next_fact_announcement{};
 };
 
 /// Queues the current state of the member for the next messages.
