Ignore a repeated message that passes a request on

Cause: the message that passed it on arrived twice, and was handled twice. Connections do not repeat messages, but nothing in the protocol relied on that before. The receiver now ignores tokens that do not increase.

--- a/core/forwarding/relay.cc
+++ b/core/forwarding/relay.cc
@@ -187,6 +187,11 @@
 
 void HandleRelayRequest(forwarding_tables& tables, instance::context& ctx, const peer::message_header& header,
                         const peer::relay_request& relayed) {
+  // Tokens increase on their way through one connection, so that a repeated message is recognised and not executed
+  // again.
+  relay_origin& last = tables.last_relayed[header.sender.id];
+  if (last.instance == header.sender && relayed.token <= last.token) return;
+  last = relay_origin{header.sender, relayed.token};
   auto content = std::make_shared<request>(relayed.request);
   content->received = ctx.now - base::duration(std::max<std::int64_t>(relayed.age_us, 0));
   acceptance accepted;
--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -197,6 +197,8 @@
   /// Requests that other instances handle for this one, by token.
   std::map<std::uint64_t, base::reply_handle> relays;
   std::uint64_t next_relay = 1;
+  /// Last request that each instance has passed on to this one.
+  std::map<base::instance_id, relay_origin> last_relayed;
   request_history history;
   /// Latency of successful calls by route name, from the start of the call to its answer.
   std::map<std::string, routing::latency_window> latency;
--- a/tests/core/forwarding/relay_test.cc
+++ b/tests/core/forwarding/relay_test.cc
@@ -197,6 +197,20 @@
   CHECK(relayed.counted);
 }
 
+// Guards against a second execution of a request whose message arrives twice.
+TEST_CASE("a repeated message does not pass the request on again") {
+  std::vector<forwarding_fixture> fleet = MakeFleet(2, repeat_policy::kAtMostOnce);
+  CutOff(fleet[0]);
+  fleet[0].Send();
+  const auto sends = fleet[0].Take<io::send_peer>();
+  REQUIRE(sends.size() == 1);
+  instance::context ctx = fleet[1].Context();
+  for (int i = 0; i < 2; ++i)
+    HandleRelayRequest(fleet[1].tables, ctx, sends[0].message.header,
+                       std::get<peer::relay_request>(sends[0].message.body));
+  CHECK(fleet[1].TakeCalls().size() == 1);
+}
+
 // Guards against requests that go round in circles, or to instances that cannot serve them either.
 TEST_CASE("a request is passed on once, and not to an instance that is cut off") {
   std::vector<forwarding_fixture> fleet = MakeFleet(3, repeat_policy::kIdempotent);
