Refuse requests from the moment an instance decides to exit

What callers saw: around planned stops, requests were run by a backend server and ended with a closed connection.

Only the server of the product's own interface was told to refuse, not the one for forwarded requests.

Ruled out: requests taken before the decision (they were answered), and requests that never reached the core (servers ran all that were cut).

Change: the decision moves the end of the instance to that moment, so that the core refuses later requests as not executed, those of other instances too. The server for forwarded requests refuses by itself from then on, for the time in which the threads stop.

--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -211,7 +211,8 @@
   base::time_point fleet_size_until{};
   base::time_point next_cleanup{};
   bool reported_ready = false;
-  /// When the process ends at the latest; set once it leaves the fleet.
+  /// When the process ends at the latest; set once it leaves the fleet. It is in the past once the process is about to
+  /// exit.
   std::optional<base::time_point> stops_at;
   /// Number of instances that callers are directed to, the time from which a smaller number takes effect, and whether
   /// this instance is one of them.
--- a/core/instance/instance.cc
+++ b/core/instance/instance.cc
@@ -191,6 +191,8 @@
       instance.forwarding.enabled && now >= instance.leave_started_at + forwarding::MaxLeaveTime(instance.forwarding);
   if (!idle && !overdue) return;
   instance.exited = true;
+  // The process ends moments later, so requests that still arrive are refused instead of being sent to servers.
+  instance.forwarding.stops_at = now;
   context ctx = MakeContext(instance, now, out);
   forwarding::StopRequests(instance.forwarding, ctx);
   out.push_back(io::exit_process{});
--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -215,7 +215,10 @@
     log.Decision(decision);
   }
 
-  void Run(core::io::exit_process&& /*exit*/) { shutdown_complete = true; }
+  void Run(core::io::exit_process&& /*exit*/) {
+    if (gateway != nullptr) gateway->RefuseRequests();
+    shutdown_complete = true;
+  }
 };
 
 daemon::daemon(const settings& settings, const adapter_factory& make_adapter)
--- a/shell/forwarding_gateway.cc
+++ b/shell/forwarding_gateway.cc
@@ -208,6 +208,15 @@
   impl_->entry.CloseConnections();
 }
 
+void forwarding_gateway::RefuseRequests() {
+  core::forwarding::answer refusal;
+  refusal.executed = executed_state::kNo;
+  refusal.status = core::base::DescribeError(error_kind::kInstanceLeaving).http_status;
+  refusal.failure = {error_kind::kInstanceLeaving, "the instance has shut down; use another address"};
+  refusal.retry_after = core::base::duration{0};
+  impl_->entry.RefuseWith(impl_->adapter.encode_answer(nullptr, std::move(refusal)));
+}
+
 std::size_t forwarding_gateway::PendingAnswers() const { return impl_->entry.PendingAnswers(); }
 
 void forwarding_gateway::Stop() {
--- a/shell/forwarding_gateway.h
+++ b/shell/forwarding_gateway.h
@@ -41,6 +41,8 @@
 
   /// Reports the instance as not ready and closes each caller's connection after its next answer.
   void BeginShutdown();
+  /// Refuses all requests that arrive from now on, on behalf of the core, which may stop meanwhile.
+  void RefuseRequests();
   /// Returns the number of requests without an answer, plus answers that are not written yet.
   std::size_t PendingAnswers() const;
   void Stop();
