Refuse answers whose header is not HTTP

What callers saw: random bytes of a faulty backend server arrived as a header field of a success, which HTTP parsers refuse.

Cause: libcurl checks little of a header line. OnHeader split each line at its first colon and skipped lines without one. Fields of requests were checked, those of answers were not.

Ruled out: bytes of another answer, as each malformed answer carried the stamp and the body of its own request.

Change: one check of header lines serves requests and all answers that libcurl reads, with status lines, interim answers and trailers. The call ends as malformed, and an idempotent request goes to another server.

--- a/shell/http_request_parser.cc
+++ b/shell/http_request_parser.cc
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "shell/http_framing.h"
+#include "shell/http_grammar.h"
 
 namespace limpetrouter::shell {
 namespace {
@@ -21,21 +22,6 @@
 
 char ToLower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 
-bool IsToken(std::string_view text) {
-  static constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
-  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
-    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
-           kMarks.find(c) != std::string_view::npos;
-  });
-}
-
-bool HasControl(std::string_view text) {
-  return std::any_of(text.begin(), text.end(), [](char c) {
-    const auto byte = static_cast<unsigned char>(c);
-    return (byte < 0x20 && c != '\t') || byte == 0x7f;
-  });
-}
-
 template <class Number>
 std::optional<Number> ParseNumber(std::string_view text, int base) {
   Number number = 0;
@@ -78,13 +64,11 @@
     const auto end = text.find(kLineEnd);
     const std::string_view line = text.substr(0, end);
     text = end == std::string_view::npos ? std::string_view{} : text.substr(end + kLineEnd.size());
-    const auto colon = line.find(':');
-    if (colon == std::string_view::npos || !IsToken(line.substr(0, colon)) || HasControl(line)) {
+    if (!ParseHeaderLine(line, request.headers)) {
       Fail(request, parse_state::kMalformed,
            "a header field is malformed (allowed: NAME: VALUE on one line without control characters)");
       return false;
     }
-    request.headers.emplace_back(line.substr(0, colon), TrimBlanks(line.substr(colon + 1)));
   }
   return true;
 }
--- a/shell/transfer.cc
+++ b/shell/transfer.cc
@@ -10,6 +10,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "shell/http_grammar.h"
+
 namespace limpetrouter::shell {
 namespace {
 
@@ -41,38 +43,42 @@
   auto& t = *static_cast<transfer*>(pointer);
   const std::size_t bytes = size * count;
   if (t.result.body.size() + bytes > t.request.max_answer_bytes || !AddBuffered(t, bytes)) {
-    t.answer_too_large = true;
+    t.answer_malformed = true;
     return 0;
   }
   t.result.body.append(data, bytes);
   return bytes;
 }
 
-/// Collects the header fields of an opaque request's final answer. Each status line discards the fields of an interim
-/// answer before it, but these still count towards the limit, because interim answers may come without end.
+/// Handles one line of an answer's header. libcurl checks little of it, so each line is checked here: what is passed on
+/// to a caller must be HTTP. The fields of an opaque request's final answer are collected. Each status line discards
+/// the fields of an interim answer before it, but these still count towards the limit, because interim answers may come
+/// without end.
 std::size_t OnHeader(char* data, std::size_t size, std::size_t count, void* pointer) {
+  constexpr std::string_view kLineEnd = "\r\n";
   auto& t = *static_cast<transfer*>(pointer);
   const std::size_t bytes = size * count;
   if (t.header_bytes + bytes > t.buffers->limits.max_header_bytes || !AddBuffered(t, bytes)) {
-    t.answer_too_large = true;
+    t.answer_malformed = true;
     return 0;
   }
   t.header_bytes += bytes;
   std::string_view line(data, bytes);
-  while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
-    line.remove_suffix(1);
-  if (line.empty()) t.header_complete = true;
-  // The header of a final answer follows that of an interim one.
-  if (line.starts_with("HTTP/")) t.header_complete = false;
-  if (t.request.method.empty()) return bytes;
-  if (line.starts_with("HTTP/")) t.result.headers.clear();
-  const auto colon = line.find(':');
-  if (colon == std::string_view::npos || line.starts_with("HTTP/")) return bytes;
-  std::string_view value = line.substr(colon + 1);
-  const auto first = value.find_first_not_of(" \t");
-  value = first == std::string_view::npos ? std::string_view{} : value.substr(first);
-  t.result.headers.emplace_back(line.substr(0, colon), value);
-  return bytes;
+  t.answer_malformed = !line.ends_with(kLineEnd);
+  if (t.answer_malformed) return 0;
+  line.remove_suffix(kLineEnd.size());
+  if (line.empty()) {
+    t.header_complete = true;
+  } else if (line.starts_with("HTTP/")) {
+    // The header of a final answer follows that of an interim one.
+    t.header_complete = false;
+    t.result.headers.clear();
+    t.answer_malformed = !IsStatusLine(line);
+  } else {
+    t.answer_malformed = !ParseHeaderLine(line, t.result.headers);
+  }
+  if (t.request.method.empty()) t.result.headers.clear();
+  return t.answer_malformed ? 0 : bytes;
 }
 
 int OnSocketCreated(void* /*pointer*/, curl_socket_t socket, curlsocktype /*purpose*/) {
--- a/shell/transfer.h
+++ b/shell/transfer.h
@@ -34,7 +34,8 @@
   std::size_t header_bytes = 0;
   /// True once the empty line after the final answer's header has arrived.
   bool header_complete = false;
-  bool answer_too_large = false;
+  /// The answer is not HTTP or exceeds a limit.
+  bool answer_malformed = false;
   bool deadline_passed = false;
 };
 
--- a/shell/transfer_pool.cc
+++ b/shell/transfer_pool.cc
@@ -208,7 +208,7 @@
       curl_easy_getinfo(message->easy_handle, CURLINFO_NUM_CONNECTS, &connects);
       t->result.opened_connection = connects > 0;
       EndTransfer(t->request.id,
-                  t->answer_too_large ? transfer_outcome::kMalformed : OutcomeOf(*t, message->data.result));
+                  t->answer_malformed ? transfer_outcome::kMalformed : OutcomeOf(*t, message->data.result));
     }
   }
 
--- a/tests/shell/transfer_pool_test.cc
+++ b/tests/shell/transfer_pool_test.cc
@@ -235,5 +235,92 @@
   CHECK(outcome == r.outcome);
 }
 
+// Guards against random bytes of a faulty server that reach a caller as a header field: libcurl passes on any line with
+// a colon, and a line without one was ignored.
+TEST_CASE("an answer with a line in its header that is not HTTP is malformed") {
+  struct row {
+    std::string what;
+    std::string header;
+    transfer_outcome outcome;
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const auto r = GENERATE_REF(values<row>({
+      {"no fields", ok, transfer_outcome::kAnswered},
+      {"a field without a value", ok + "X-A:\r\n", transfer_outcome::kAnswered},
+      {"a value with tabs and bytes above 127", ok + "X-A: a\tb \x80\xff\r\n", transfer_outcome::kAnswered},
+      {"a name with all kinds of characters", ok + "!#$%&'*+-.^_`|~9aZ: a\r\n", transfer_outcome::kAnswered},
+      {"no reason", "HTTP/1.1 200\r\n", transfer_outcome::kAnswered},
+      {"an interim answer", "HTTP/1.1 103 Early\r\nX-A: 1\r\n\r\n" + ok, transfer_outcome::kAnswered},
+      {"a line without a colon", ok + "random bytes\r\n", transfer_outcome::kMalformed},
+      {"an empty name", ok + ": a\r\n", transfer_outcome::kMalformed},
+      {"a space in a name", ok + "X A: a\r\n", transfer_outcome::kMalformed},
+      {"a space behind a name", ok + "X-A : a\r\n", transfer_outcome::kMalformed},
+      {"a control character in a name", ok + "X\x01: a\r\n", transfer_outcome::kMalformed},
+      {"a byte above 127 in a name", ok + "X\x90: a\r\n", transfer_outcome::kMalformed},
+      {"a control character in a value", ok + "X-A: a\x02\r\n", transfer_outcome::kMalformed},
+      {"a delete character in a value", ok + "X-A: a\x7f\r\n", transfer_outcome::kMalformed},
+      {"a carriage return in a value", ok + "X-A: a\rb\r\n", transfer_outcome::kMalformed},
+      {"a line end without a carriage return", ok + "X-A: a\n", transfer_outcome::kMalformed},
+      {"a folded field", ok + "X-A: a\r\n b: c\r\n", transfer_outcome::kMalformed},
+      {"a folded field without a colon", ok + "X-A: a\r\n b\r\n", transfer_outcome::kMalformed},
+      {"a control character in a reason", "HTTP/1.1 200 O\x01K\r\n", transfer_outcome::kMalformed},
+      {"a status out of range", "HTTP/1.1 700 OK\r\n", transfer_outcome::kMalformed},
+      {"a malformed interim answer", "HTTP/1.1 103 Early\r\nX A: 1\r\n\r\n" + ok, transfer_outcome::kMalformed},
+      {"random bytes", ok + "\x8a\x13K: \xfe\r\x01 q\r\n", transfer_outcome::kMalformed},
+  }));
+  const bool opaque = GENERATE(true, false);
+  INFO(r.what << (opaque ? ", opaque request" : ", JSON request"));
+  scripted_server server([&r](const std::string&) {
+    return scripted_reply{r.header + "Content-Length: 2\r\n\r\n{}", false, {}};
+  });
+  transfer_pool pool;
+  std::atomic<int> ended{0};
+  transfer_result result;
+  transfer_request request = OpaqueGet(pool, server.Address(), milliseconds(2'000));
+  if (!opaque) {
+    request.method.clear();
+    request.url += "/x";
+  }
+  request.done = [&](transfer_result&& answer) {
+    result = std::move(answer);
+    ++ended;
+  };
+  pool.Start(std::move(request));
+  REQUIRE(Eventually([&ended] { return ended == 1; }));
+  CHECK(result.outcome == r.outcome);
+  const bool answered = r.outcome == transfer_outcome::kAnswered;
+  CHECK(result.body == (answered ? "{}" : ""));
+}
+
+// Guards against the same bytes in the trailer of a chunked answer, whose fields are passed on with those of the
+// header.
+TEST_CASE("an answer with a line in its trailer that is not HTTP is malformed") {
+  struct row {
+    std::string trailer;
+    transfer_outcome outcome;
+  };
+  const auto r = GENERATE(values<row>({
+      {"", transfer_outcome::kAnswered},
+      {"X-A: 1\r\n", transfer_outcome::kAnswered},
+      {"X A: 1\r\n", transfer_outcome::kMalformed},
+      {"X-A: \x03\r\n", transfer_outcome::kMalformed},
+  }));
+  INFO(r.trailer);
+  scripted_server server([&r](const std::string&) {
+    return scripted_reply{std::string(kAnswerStart) + "2\r\n{}\r\n0\r\n" + r.trailer + "\r\n", false, {}};
+  });
+  transfer_pool pool;
+  std::atomic<int> ended{0};
+  std::atomic<transfer_outcome> outcome{transfer_outcome::kCancelled};
+  transfer_request request = OpaqueGet(pool, server.Address(), milliseconds(2'000));
+  request.done = [&](transfer_result&& answer) {
+    outcome = answer.outcome;
+    ++ended;
+  };
+  pool.Start(std::move(request));
+  REQUIRE(Eventually([&ended] { return ended == 1; }));
+  CHECK(outcome == r.outcome);
+}
+
 }  // namespace
 }  // namespace limpetrouter::shell
