Withhold a request after three uncertain crashes in a row

What callers saw: a request that crashes servers came again and ended one more server at each try, with the calls of other requests on it.

Cause: a request was withheld only if one of two crashes was certain, that is if no other request ran on the server. On busy servers this never holds, and uncertain crashes were never added up.

Ruled out: crashes that are not noticed, and statements that come too late. Each crash has its "suspect" line, and the next try already sends a single call.

Change: a crash under a call that started after the request became a suspect is a further one; the third in a row withholds the request. Crashes at the same time still count once. An answered call clears the request everywhere, so that a harmless one does not stay suspected. Both travel as facts of the known kind, which older builds pass on.

--- a/core/forwarding/crash_suspects.cc
+++ b/core/forwarding/crash_suspects.cc
@@ -31,12 +31,16 @@
 
 /// Records the request of a lost call as a suspect. `certain` is true if no other request ran on the server.
 void SuspectRequest(const server& server, instance::context& ctx, const lost_call& call, bool certain) {
+  if (membership::IsAnswered(ctx.facts, call.fingerprint, ctx.now)) return;
   const std::optional<base::time_point> since = membership::SuspectedSince(ctx.facts, call.fingerprint, ctx.now);
   // A call that started before the first crash does not count: servers that crash together have another cause, and a
   // sharded request runs on many servers at once.
   if (since.has_value() && call.started < *since) return;
   const base::duration time = config::limits{}.withhold_time;
+  const auto earlier = membership::FindSuspicion(ctx.facts, call.fingerprint, ctx.now);
   membership::RecordSuspected(ctx.facts, call.fingerprint, {HashOf(server), certain}, time, ctx.now);
+  if (earlier.has_value() && earlier->crashed_server != HashOf(server))
+    membership::RecordRepeatedCrash(ctx.facts, call.fingerprint, {HashOf(server), call.started}, time, ctx.now);
   // The caller sends the request to another instance within milliseconds.
   ctx.facts.urgent = true;
   const bool withheld = membership::IsWithheld(ctx.facts, call.fingerprint, ctx.now);
@@ -106,6 +110,14 @@
   if (server.lost_calls.size() < kMaxLostCalls) server.lost_calls.push_back(call);
 }
 
+void NoteAnsweredCall(instance::context& ctx, base::fingerprint_id fingerprint) {
+  if (ctx.facts.facts.empty()) return;
+  const bool suspected = membership::IsSuspected(ctx.facts, fingerprint, ctx.now);
+  if (!suspected && !membership::IsWithheld(ctx.facts, fingerprint, ctx.now)) return;
+  membership::RecordAnswered(ctx.facts, fingerprint, ctx.now);
+  instance::LogDecision(ctx, "clear", {{"fingerprint", base::ToHex(fingerprint.value)}});
+}
+
 void NoteServerDown(server& server, instance::context& ctx) {
   const std::vector<lost_call> calls = std::exchange(server.lost_calls, {});
   const bool single_request = std::all_of(calls.begin(), calls.end(), [&calls](const lost_call& call) {
--- a/core/forwarding/crash_suspects.h
+++ b/core/forwarding/crash_suspects.h
@@ -13,9 +13,12 @@
 /// Handles a server that refuses connections. If the server lost calls shortly before, it has crashed, and the requests
 /// of these calls become suspects on every instance. A request is withheld once a call that started after the request's
 /// first crash ended in the crash of another server, provided that the request was the only one that ran on one of the
-/// two servers.
+/// two servers. If other requests ran on each of them, it takes a third crash, by a call that started after the second.
 void NoteServerDown(server& server, instance::context& ctx);
 
+/// Handles the answer of a server that has executed the request: a suspected request is cleared on every instance.
+void NoteAnsweredCall(instance::context& ctx, base::fingerprint_id fingerprint);
+
 /// True if the request may crash the servers that run it: it is suspected, or has lost calls at several servers, and
 /// none of its calls has been answered.
 bool MayCrashServers(const active_request& request);
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -303,6 +303,7 @@
   std::erase(part.calls, event.call);
   call_result result = event.result;
   if (IsSuccess(result)) {
+    NoteAnsweredCall(ctx, ended.fingerprint);
     routing::AddLatency(tables.latency[request.route->name], ctx.now - ended.started, ctx.now);
   } else if (!ended.lingers_until.has_value()) {
     LogCallFailure(tables, ctx, request, ended, result);
--- a/core/membership/fact_table.cc
+++ b/core/membership/fact_table.cc
@@ -13,11 +13,19 @@
 /// The fact that a drain has ended must outlive the longest partition (one hour) during which another instance could
 /// still hold the drain.
 constexpr base::duration kDrainEndLifetime = std::chrono::hours(2);
+/// Crashes under an answered request are not held against it for this time. It covers the time until all instances have
+/// forgotten the earlier crashes, and is short because a change of the backend servers may make the request dangerous.
+constexpr base::duration kAnsweredLifetime = std::chrono::seconds(10);
 /// Upper bound for the lifetime of a fact that another instance states.
 constexpr base::duration kMaxLifetime = std::chrono::hours(24);
 
 std::string DrainEndSubject(const std::string& server, std::uint64_t boot) { return server + "/" + base::ToHex(boot); }
 
+/// Facts about one request besides its first crash have subjects of their own. Instances of earlier versions pass facts
+/// with such subjects on without using them; a new kind of fact would make them refuse the message.
+std::string RepeatedCrashSubject(const std::string& fingerprint) { return fingerprint + "/repeated"; }
+std::string AnsweredSubject(const std::string& fingerprint) { return fingerprint + "/answered"; }
+
 bool Expires(fact_kind kind) { return kind != fact_kind::kBackendDraining; }
 
 const known_fact* Find(const fact_table& table, fact_kind kind, const std::string& subject) {
@@ -88,6 +96,22 @@
   return MergeTimed(table, fact, lifetime, now);
 }
 
+/// Fingerprint that a fact about a request is about.
+std::string FingerprintOf(const peer::fact& fact) { return fact.subject.substr(0, fact.subject.find('/')); }
+
+bool IsAnswered(const fact_table& table, const std::string& fingerprint, base::time_point now) {
+  return FindUnexpired(table, fact_kind::kRequestSuspected, AnsweredSubject(fingerprint), now) != nullptr;
+}
+
+/// Records that the request was answered, and forgets the crashes that it was suspected of.
+bool PutAnswered(fact_table& table, const std::string& fingerprint, base::duration lifetime, base::time_point now) {
+  if (!PutIfAbsent(table, fact_kind::kRequestSuspected, AnsweredSubject(fingerprint), lifetime, now)) return false;
+  table.facts.erase({fact_kind::kRequestSuspected, fingerprint});
+  table.facts.erase({fact_kind::kRequestSuspected, RepeatedCrashSubject(fingerprint)});
+  table.facts.erase({fact_kind::kRequestWithheld, fingerprint});
+  return true;
+}
+
 bool MergeSuspicion(fact_table& table, const peer::fact& fact, base::duration lifetime, base::time_point now) {
   const known_fact* const held = FindUnexpired(table, fact.kind, fact.subject, now);
   if (held == nullptr) {
@@ -216,11 +240,41 @@
   return FindSuspicion(table, fingerprint, now).has_value();
 }
 
+void RecordRepeatedCrash(fact_table& table, base::fingerprint_id fingerprint, const repeated_crash& crash,
+                         base::duration lifetime, base::time_point now) {
+  const std::string subject = RepeatedCrashSubject(base::ToHex(fingerprint.value));
+  const known_fact* const held = FindUnexpired(table, fact_kind::kRequestSuspected, subject, now);
+  if (held == nullptr) {
+    peer::fact fact;
+    fact.kind = fact_kind::kRequestSuspected;
+    fact.subject = subject;
+    fact.revision = crash.crashed_server;
+    Put(table, fact, lifetime, now);
+  } else if (crash.call_started >= held->learned && held->fact.revision != crash.crashed_server) {
+    RecordWithheld(table, fingerprint, lifetime, now);
+  }
+}
+
+void RecordAnswered(fact_table& table, base::fingerprint_id fingerprint, base::time_point now) {
+  if (!IsSuspected(table, fingerprint, now) && !IsWithheld(table, fingerprint, now)) return;
+  PutAnswered(table, base::ToHex(fingerprint.value), kAnsweredLifetime, now);
+}
+
+bool IsAnswered(const fact_table& table, base::fingerprint_id fingerprint, base::time_point now) {
+  return !table.facts.empty() && IsAnswered(table, base::ToHex(fingerprint.value), now);
+}
+
 bool MergeFact(fact_table& table, const peer::fact& fact, base::time_point now) {
   if (fact.kind == fact_kind::kBackendDraining) return MergeDrain(table, fact, now);
   if (fact.expires_in_us <= 0) return false;
   const base::duration lifetime = std::min(base::duration(fact.expires_in_us), kMaxLifetime);
-  if (fact.kind == fact_kind::kRequestSuspected) return MergeSuspicion(table, fact, lifetime, now);
+  if (fact.kind == fact_kind::kRequestSuspected || fact.kind == fact_kind::kRequestWithheld) {
+    const std::string fingerprint = FingerprintOf(fact);
+    if (fact.subject == AnsweredSubject(fingerprint)) return PutAnswered(table, fingerprint, lifetime, now);
+    if (IsAnswered(table, fingerprint, now)) return false;
+    if (fact.kind == fact_kind::kRequestSuspected && fact.subject == fingerprint)
+      return MergeSuspicion(table, fact, lifetime, now);
+  }
   return MergeTimed(table, fact, lifetime, now);
 }
 
--- a/core/membership/fact_table.h
+++ b/core/membership/fact_table.h
@@ -93,6 +93,24 @@
                                                base::time_point now);
 bool IsSuspected(const fact_table& table, base::fingerprint_id fingerprint, base::time_point now);
 
+/// A crash under a call that started after the request became a suspect.
+struct repeated_crash {
+  std::uint64_t crashed_server = 0;
+  base::time_point call_started{};
+};
+
+/// Records a further crash of a suspected request. The request is withheld if an earlier further crash, of another
+/// backend server, was known here before the call started: requests that merely run beside the cause of a crash are not
+/// hit three times in a row. This holds although each crash by itself may have another cause.
+void RecordRepeatedCrash(fact_table& table, base::fingerprint_id fingerprint, const repeated_crash& crash,
+                         base::duration lifetime, base::time_point now);
+
+/// Clears a suspected or withheld request after a backend server has executed and answered it: a request that crashes
+/// servers is never answered. For some seconds, crashes are not held against it. Does nothing for other requests.
+void RecordAnswered(fact_table& table, base::fingerprint_id fingerprint, base::time_point now);
+/// True if `RecordAnswered` has cleared the request here or on another instance a short time ago.
+bool IsAnswered(const fact_table& table, base::fingerprint_id fingerprint, base::time_point now);
+
 /// Merges a fact that another instance sent. Returns true if it changed the table, in which case it is passed on. The
 /// result does not depend on the order in which facts arrive.
 bool MergeFact(fact_table& table, const peer::fact& fact, base::time_point now);
--- a/tests/core/forwarding/crash_suspects_test.cc
+++ b/tests/core/forwarding/crash_suspects_test.cc
@@ -138,6 +138,81 @@
   CHECK(fixture.TakeCalls().size() == 1);
 }
 
+// Guards against a request that crashes one busy server after another: other requests ran on each of them, so that no
+// crash was certain, and the request was never withheld. Nor may a harmless request be withheld that is hit repeatedly.
+TEST_CASE("a request that only uncertain crashes follow is withheld after the third in a row") {
+  enum class history { kInARow, kAnsweredBetween, kAnsweredElsewhere, kStartedBeforeSecond, kSameServer, kTwoCrashes };
+  struct row {
+    std::string name;
+    history events;
+    bool withheld;
+  };
+  const row given = GENERATE(
+      values<row>({{"three in a row", history::kInARow, true},
+                   {"answered in between", history::kAnsweredBetween, false},
+                   {"answered in between at another instance", history::kAnsweredElsewhere, false},
+                   {"the third call started before the second crash was known", history::kStartedBeforeSecond, false},
+                   {"the third crash is the second one, seen again", history::kSameServer, false},
+                   {"two crashes", history::kTwoCrashes, false}}));
+  INFO(given.name);
+  forwarding_fixture fixture = FixtureWithServers(4);
+  const base::fingerprint_id suspect(1);
+  const auto crash = [&fixture, suspect](const std::string& id, base::time_point started) {
+    auto& target = fixture.tables.servers.servers.at(base::backend_server_id(id));
+    NoteLostCall(target, {suspect, started, fixture.now, 0});
+    NoteLostCall(target, {base::fingerprint_id(fixture.next_handle++ + 100), started, fixture.now, 0});
+    fixture.now += milliseconds(10);
+    instance::context ctx = fixture.Context();
+    NoteServerDown(target, ctx);
+    fixture.now += milliseconds(10);
+  };
+  crash("server0", fixture.now);
+  const base::time_point before_second = fixture.now;
+  crash("server1", fixture.now);
+  CHECK(membership::IsSuspected(fixture.facts, suspect, fixture.now));
+  CHECK_FALSE(membership::IsWithheld(fixture.facts, suspect, fixture.now));
+  if (given.events == history::kAnsweredBetween) {
+    instance::context ctx = fixture.Context();
+    NoteAnsweredCall(ctx, suspect);
+    CHECK_FALSE(membership::IsSuspected(fixture.facts, suspect, fixture.now));
+  } else if (given.events == history::kAnsweredElsewhere) {
+    membership::fact_table other;
+    for (const auto& [key, known] : fixture.facts.facts)
+      membership::MergeFact(other, known.fact, fixture.now);
+    membership::RecordAnswered(other, suspect, fixture.now);
+    for (const auto& [key, known] : other.facts)
+      membership::MergeFact(fixture.facts, known.fact, fixture.now);
+    CHECK_FALSE(membership::IsSuspected(fixture.facts, suspect, fixture.now));
+  }
+  if (given.events != history::kTwoCrashes) {
+    crash(given.events == history::kSameServer ? "server1" : "server2",
+          given.events == history::kStartedBeforeSecond ? before_second : fixture.now);
+  }
+  CHECK(membership::IsWithheld(fixture.facts, suspect, fixture.now) == given.withheld);
+}
+
+// Guards against a harmless request that stays suspected, and is withheld at its next crash although servers answer it.
+TEST_CASE("an answered call clears a suspected request") {
+  forwarding_fixture fixture = FixtureWithServers(4);
+  CrashServer(fixture, "good");
+  const base::reply_handle handle = fixture.Send({}, "good");
+  const base::fingerprint_id fingerprint = fixture.tables.requests.at(handle).fingerprint;
+  REQUIRE(membership::IsSuspected(fixture.facts, fingerprint, fixture.now));
+  fixture.now += milliseconds(10);
+  fixture.End(fixture.TakeCalls().at(0), forwarding_fixture::Served());
+  CHECK_FALSE(membership::IsSuspected(fixture.facts, fingerprint, fixture.now));
+  CrashServer(fixture, "good");
+  CHECK_FALSE(membership::IsWithheld(fixture.facts, fingerprint, fixture.now));
+  fixture.Send({}, "good");
+  CHECK(fixture.TakeCalls().size() == 1);
+  // Crashes count again after some seconds, because a change of the servers may make the request dangerous.
+  fixture.now += seconds(11);
+  fixture.AddServers(
+      {forwarding_fixture::MakeServer("new-a", "single", "a"), forwarding_fixture::MakeServer("new-b", "single", "a")});
+  CrashServer(fixture, "good");
+  CHECK(membership::IsSuspected(fixture.facts, fingerprint, fixture.now));
+}
+
 // Guards against retries of a request that was withheld after the instance had already sent it.
 TEST_CASE("a request that is withheld while a call is running is not sent again") {
   forwarding_fixture fixture = FixtureWithServers(3);
--- a/tests/core/membership/fact_table_test.cc
+++ b/tests/core/membership/fact_table_test.cc
@@ -125,5 +125,39 @@
   CHECK(FindSuspicion(a, fingerprint, kStart)->crashed_server == FindSuspicion(b, fingerprint, kStart)->crashed_server);
 }
 
+// Guards against instances that disagree about a request because they learned of its crashes and of its answer in
+// another order.
+TEST_CASE("an answer clears a request whatever the order in which its facts arrive") {
+  const bool answer_first = GENERATE(true, false);
+  INFO("answer first " << answer_first);
+  const base::fingerprint_id fingerprint(77);
+  constexpr auto kLifetime = std::chrono::minutes(10);
+  fact_table crashed;
+  RecordSuspected(crashed, fingerprint, {1, false}, kLifetime, kStart);
+  RecordRepeatedCrash(crashed, fingerprint, {2, kStart}, kLifetime, kStart);
+  RecordWithheld(crashed, fingerprint, kLifetime, kStart);
+  fact_table answered;
+  RecordSuspected(answered, fingerprint, {1, false}, kLifetime, kStart);
+  RecordAnswered(answered, fingerprint, kStart);
+  fact_table table;
+  SendAllFacts(answer_first ? answered : crashed, table);
+  SendAllFacts(answer_first ? crashed : answered, table);
+  CHECK_FALSE(IsSuspected(table, fingerprint, kStart));
+  CHECK_FALSE(IsWithheld(table, fingerprint, kStart));
+  CHECK(IsAnswered(table, fingerprint, kStart));
+  SendAllFacts(crashed, table);
+  CHECK_FALSE(IsWithheld(table, fingerprint, kStart));
+  const base::time_point later = kStart + std::chrono::seconds(11);
+  CHECK_FALSE(IsAnswered(table, fingerprint, later));
+  RecordSuspected(table, fingerprint, {3, false}, kLifetime, later);
+  CHECK(IsSuspected(table, fingerprint, later));
+}
+
+TEST_CASE("a request that is neither suspected nor withheld needs no clearing") {
+  fact_table table;
+  RecordAnswered(table, base::fingerprint_id(77), kStart);
+  CHECK(table.facts.empty());
+}
+
 }  // namespace
 }  // namespace limpetrouter::core::membership
