End calls whose connection delivers far more than their answer

But libcurl skips chunk extensions without telling, so that a server could send them until the deadline and keep the thread of all calls busy.

Change: after the sixteenth read of a call, the bytes that its socket has received are compared with those of its answer. More than 256 KiB beyond eight times the answer end the call as malformed.

Ruled out: libcurl's own speed limits (they only know a least speed).

--- /dev/null
+++ b/shell/socket_statistics.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+namespace limpetrouter::shell {
+
+/// Number of bytes that a TCP socket has received since it was opened, or nothing if the kernel does not tell.
+std::optional<std::uint64_t> BytesReceived(int socket);
+
+}  // namespace limpetrouter::shell
--- a/shell/transfer.cc
+++ b/shell/transfer.cc
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 
 #include "shell/http_grammar.h"
+#include "shell/socket_statistics.h"
 
 namespace limpetrouter::shell {
 namespace {
@@ -91,6 +92,27 @@
   return CURL_SOCKOPT_OK;
 }
 
+/// libcurl calls this after each read. It skips chunk extensions itself, so that a server can send them without end,
+/// which keeps the thread of all transfers busy. Ends a transfer whose connection delivers far more than its answer.
+int OnProgress(void* pointer, curl_off_t /*expected*/, curl_off_t /*received*/, curl_off_t /*to_send*/,
+               curl_off_t /*sent*/) {
+  constexpr int kContinue = 0;
+  // Almost all answers end before this number of reads, so that their sockets are not asked.
+  constexpr std::uint32_t kFirstCheckedReport = 16;
+  constexpr std::uint64_t kMaxUnusedBytes = 256 * 1024;
+  // A chunk of one byte has a framing of five.
+  constexpr std::uint64_t kMaxFramingRatio = 8;
+  auto& t = *static_cast<transfer*>(pointer);
+  if (++t.progress_reports < kFirstCheckedReport || t.write_attempts == 0) return kContinue;
+  const std::optional<std::uint64_t> received = BytesReceived(t.socket);
+  if (!received.has_value()) return kContinue;
+  // The socket may have received earlier answers, so only the increase counts. A new connection starts at zero again.
+  if (!t.received_before.has_value() || *received < *t.received_before) t.received_before = *received;
+  const std::uint64_t used = kMaxFramingRatio * t.result.body.size() + t.header_bytes;
+  t.answer_malformed = *received - *t.received_before > used + kMaxUnusedBytes;
+  return t.answer_malformed ? 1 : kContinue;
+}
+
 std::string TimeLeftLine(const transfer& t) {
   const auto left = std::chrono::duration_cast<milliseconds>(t.request.deadline - steady_clock::now());
   return fmt::format("{}: {}", t.request.time_left_field, std::max<std::int64_t>(left.count(), 0));
@@ -189,6 +211,9 @@
   if (t.request.keep_alive_probes) curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &t);
+  curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
+  curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, &OnProgress);
+  curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &t);
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &OnHeader);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, &t);
   curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &OnBeforeWrite);
--- a/shell/transfer.h
+++ b/shell/transfer.h
@@ -3,6 +3,8 @@
 #include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 
 #include <curl/curl.h>
 
@@ -32,6 +34,12 @@
   answer_buffers* buffers = nullptr;
   /// Bytes of the header so far, including interim answers and trailers.
   std::size_t header_bytes = 0;
+  /// The socket that libcurl waits for.
+  curl_socket_t socket = CURL_SOCKET_BAD;
+  /// Number of times that libcurl has reported progress.
+  std::uint32_t progress_reports = 0;
+  /// Bytes that the socket had received when they were first compared with those of the answer.
+  std::optional<std::uint64_t> received_before;
   /// True once the empty line after the final answer's header has arrived.
   bool header_complete = false;
   /// The answer is not HTTP or exceeds a limit.
--- a/shell/transfer_pool.cc
+++ b/shell/transfer_pool.cc
@@ -77,12 +77,15 @@
     static_cast<void>(!::write(wake, &one, sizeof one));
   }
 
-  static int OnSocketChanged(CURL* /*easy*/, curl_socket_t socket, int action, void* pointer, void* registered) {
+  static int OnSocketChanged(CURL* easy, curl_socket_t socket, int action, void* pointer, void* registered) {
     const auto& pool = *static_cast<impl*>(pointer);
     if (action == CURL_POLL_REMOVE) {
       epoll_ctl(pool.epoll, EPOLL_CTL_DEL, socket, nullptr);
       return 0;
     }
+    transfer* owner = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &owner);
+    if (owner != nullptr) owner->socket = socket;
     epoll_event event{};
     event.data.fd = socket;
     if ((action & CURL_POLL_IN) != 0) event.events |= EPOLLIN;
--- a/tests/shell/transfer_pool_test.cc
+++ b/tests/shell/transfer_pool_test.cc
@@ -107,6 +107,9 @@
       {"a body with its connection as end", "HTTP/1.1 200 OK\r\n\r\n", "body"},
       {"a chunked body", kAnswerStart, "4\r\nbody\r\n"},
       {"trailer fields", std::string(kAnswerStart) + "0\r\n", "Field: value\r\n"},
+      {"a chunk extension", std::string(kAnswerStart) + "4;extension=", "value"},
+      {"the extension of the last chunk", std::string(kAnswerStart) + "4\r\nbody\r\n0;extension=", "value"},
+      {"chunk extensions", kAnswerStart, "1;extension=value-of-the-extension\r\nx\r\n"},
   }));
   const bool opaque = GENERATE(true, false);
   INFO(r.what << (opaque ? ", opaque request" : ", JSON request"));
