Send no requests to servers that state that they leave

The product did not read the header: a server whose entry was still ready, or that the store could not report, got requests until its entry changed.

Change: the adapter decodes the header from each answer that is the server's own. The server's table keeps it beside the states of the registry, and AcceptsRequests decides for first calls, retries, hedges, relayed requests, parts that wait and calls in turns of a rate limit. It ends with a new process of the server only: an entry that lapses and returns, or a late answer of a former process, changes nothing.

Not part of this: telling other instances. Each learns it from the server's next answer or from the registry.

--- a/core/forwarding/forwarding.cc
+++ b/core/forwarding/forwarding.cc
@@ -151,6 +151,7 @@
                         {"address", each.record.address},
                         {"data_centre", each.record.data_centre.value},
                         {"draining", each.record.draining},
+                        {"leaving", each.leaving},
                         {"revision", each.record.revision},
                         {"entry_age_ms", AgeMs(each.record_read_at, now)},
                         {"missing_ms", AgeMs(each.missing_since, now)},
--- a/core/forwarding/messages.h
+++ b/core/forwarding/messages.h
@@ -85,6 +85,8 @@
   std::optional<server_load> load;
   /// Absent if the answer does not tell whether a limit is in force.
   std::optional<rate_limit_statement> rate_limit;
+  /// The backend server has stated that it is about to leave.
+  bool server_leaving = false;
   /// How long the backend server keeps the idle connection, if it stated this.
   std::optional<base::duration> keep_alive;
   bool opened_connection = false;
--- a/core/forwarding/request_calls.cc
+++ b/core/forwarding/request_calls.cc
@@ -111,6 +111,7 @@
   started.part = index;
   started.fingerprint = request.fingerprint;
   started.server = chosen.server;
+  started.incarnation = target.record.incarnation;
   started.started = ctx.now;
   tables.calls.emplace(id, started);
   NoteCallStart(target, {id, ctx.now, TypicalLatency(tables, *request.route)});
--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -41,6 +41,8 @@
   std::size_t part = 0;
   base::fingerprint_id fingerprint;
   base::backend_server_id server;
+  /// Incarnation of the server when the call started.
+  std::uint64_t incarnation = 0;
   base::time_point started{};
   /// Set once the answer is no longer needed. The call may end by itself until this time, which keeps its connection
   /// open.
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -76,6 +76,17 @@
   LogRequest(tables.history, ctx, request.content->attempt, "call_failed", std::move(fields));
 }
 
+/// A server that leaves gets no new requests. An answer of its former process says nothing about the present one.
+void NoteStatedLeave(instance::context& ctx, server& target, const call& ended, const call_result& result) {
+  if (!result.server_leaving || target.leaving || ended.incarnation != target.record.incarnation) return;
+  target.leaving = true;
+  instance::LogDecision(ctx, "server_leaving",
+                        {{"backend_server", ended.server.value},
+                         {"status", std::to_string(result.status)},
+                         {"entry", target.record.draining ? "draining" : "ready"},
+                         {"entry_age_ms", std::to_string(base::ToMilliseconds(ctx.now - target.record_read_at))}});
+}
+
 void NoteServerResult(forwarding_tables& tables, instance::context& ctx, call_id id, const call& ended,
                       const call_result& result) {
   const auto found = tables.servers.servers.find(ended.server);
@@ -92,6 +103,7 @@
     ProbeAfterLostCall(tables, ctx, target);
   }
   if (result.rate_limit.has_value()) NoteRateLimit(tables.servers, target, ctx, *result.rate_limit, ended.started);
+  NoteStatedLeave(ctx, target, ended, result);
   if (result.keep_alive.has_value()) target.max_idle = *result.keep_alive;
   if (result.failure == error_kind::kBackendReplaced && !target.misdirected) {
     target.misdirected = true;
--- a/core/forwarding/server_choice.cc
+++ b/core/forwarding/server_choice.cc
@@ -82,7 +82,7 @@
 }
 
 bool IsUsable(const server& each, const choice_rules& rules, base::time_point now) {
-  if (each.record.draining || each.misdirected || each.ejected_until > now) return false;
+  if (!AcceptsRequests(each) || each.ejected_until > now) return false;
   const auto& excluded = *rules.excluded;
   return std::find(excluded.begin(), excluded.end(), each.record.id) == excluded.end();
 }
--- a/core/forwarding/server_table.cc
+++ b/core/forwarding/server_table.cc
@@ -35,8 +35,9 @@
   if (found->second.empty()) table.by_service.erase(found);
 }
 
-void NoteDeparture(server_table& table, const server_record& record) {
-  const departed_server departure{record.incarnation, record.sequence};
+void NoteDeparture(server_table& table, const server& removed) {
+  const server_record& record = removed.record;
+  const departed_server departure{record.incarnation, record.sequence, removed.leaving};
   if (!table.departed.insert_or_assign(record.id, departure).second) return;
   table.departure_order.push_back(record.id);
   if (table.departure_order.size() <= kKeptDepartures) return;
@@ -47,7 +48,7 @@
 void Erase(server_table& table, const base::backend_server_id& id) {
   const auto found = table.servers.find(id);
   if (found == table.servers.end()) return;
-  NoteDeparture(table, found->second.record);
+  NoteDeparture(table, found->second);
   RemoveFromService(table, found->second);
   table.servers.erase(found);
 }
@@ -80,6 +81,10 @@
   server added;
   added.record = record;
   added.record_read_at = added.slowness_at = added.failure_at = now;
+  // An entry that lapsed and came back belongs to the same process.
+  const auto departed = table.departed.find(record.id);
+  if (departed != table.departed.end() && departed->second.incarnation == record.incarnation)
+    added.leaving = departed->second.leaving;
   table.by_service[record.service].push_back(record.id);
   table.servers.emplace(record.id, std::move(added));
   changes.push_back({record.id, record.draining ? "added draining" : "added", record.revision});
@@ -232,6 +237,8 @@
   return changes;
 }
 
+bool AcceptsRequests(const server& each) { return !each.record.draining && !each.leaving && !each.misdirected; }
+
 const std::vector<base::backend_server_id>& ServersOf(const server_table& table, const base::service_id& service) {
   static const std::vector<base::backend_server_id> none;
   const auto found = table.by_service.find(service);
--- a/core/forwarding/server_table.h
+++ b/core/forwarding/server_table.h
@@ -57,6 +57,9 @@
   base::time_point missing_since{};
   /// True if another server answered at this server's address.
   bool misdirected = false;
+  /// The server has stated in an answer that it is about to leave. Holds for its present incarnation, whatever its
+  /// entry in the service registry says.
+  bool leaving = false;
 
   std::vector<running_call> running;
   /// Latency relative to the typical latency of such calls; 1 is typical.
@@ -89,6 +92,7 @@
 struct departed_server {
   std::uint64_t incarnation = 0;
   std::uint64_t sequence = 0;
+  bool leaving = false;
 };
 
 /// An entry of a departed server that a restored store holds again. It is not used until the server proves to live.
@@ -144,6 +148,9 @@
 /// removals are not known that far back.
 published_changes ChangesSince(const server_table& table, const store_position& position);
 
+/// True if the server may get new requests as far as it and the service registry have stated.
+bool AcceptsRequests(const server& each);
+
 const std::vector<base::backend_server_id>& ServersOf(const server_table& table, const base::service_id& service);
 
 }  // namespace limpetrouter::core::forwarding
--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -206,6 +206,52 @@
   CHECK(shell::FindHeader(result.headers, "Server-Limit") == nullptr);
 }
 
+// Guards against requests that are sent to a server that has said it leaves, and against another server's word.
+TEST_CASE("an answer states whether its server leaves") {
+  struct row {
+    transfer_outcome outcome;
+    int status;
+    http_headers headers;
+    bool leaving;
+  };
+  const http_headers own = {{"X-Attempt-Id", "a1"}, {"X-Server-Stamp", "s"}};
+  const auto with = [&own](const std::string& value) {
+    http_headers changed = own;
+    changed.emplace_back("server-leaving", value);
+    return changed;
+  };
+  http_headers two = with("0");
+  two.emplace_back("Server-Leaving", "1");
+  const auto r = GENERATE_COPY(values<row>({
+      {transfer_outcome::kAnswered, 200, with("1"), true},
+      {transfer_outcome::kAnswered, 500, with("1"), true},
+      {transfer_outcome::kAnswered, 404, with("1"), true},
+      {transfer_outcome::kAnswered, 503, {{"X-Not-Executed", "1"}, {"Server-Leaving", "1"}}, true},
+      {transfer_outcome::kAnswered, 200, two, true},
+      {transfer_outcome::kAnswered, 200, own, false},
+      {transfer_outcome::kAnswered, 200, with(""), false},
+      {transfer_outcome::kAnswered, 200, with("0"), false},
+      {transfer_outcome::kAnswered, 200, with("true"), false},
+      {transfer_outcome::kAnswered,
+       200,
+       {{"X-Attempt-Id", "a2"}, {"X-Server-Stamp", "s"}, {"Server-Leaving", "1"}},
+       false},
+      {transfer_outcome::kAnswered, 421, {{"X-Instance-Id", "i-2"}, {"Server-Leaving", "1"}}, false},
+      {transfer_outcome::kMalformed, 200, with("1"), false},
+      {transfer_outcome::kTruncated, 200, with("1"), false},
+  }));
+  INFO(ToString(r.outcome) << " " << r.status);
+  core::forwarding::request request;
+  request.attempt = "a1";
+  shell::transfer_result ended;
+  ended.outcome = r.outcome;
+  ended.status = r.status;
+  ended.headers = r.headers;
+  const core::forwarding::call_result result = DecodeResult(request, std::move(ended));
+  CHECK(result.server_leaving == r.leaving);
+  CHECK(shell::FindHeader(result.headers, "Server-Leaving") == nullptr);
+}
+
 // Guards against this instance's own answer carrying a backend server's proof, and against hidden missing parts.
 TEST_CASE("a merged answer states its parts and the missing ones, and a failure carries no proof") {
   core::forwarding::request request;
