Measure idle time from the last request, and never answer 408 for one in progress

Cause: the HTTP library measures its timeouts from the last reset of its parser, which a server for forwarded requests did not use, and applies those for header and body to requests in progress.

Ruled out: the platform's limits, which are not used for these timeouts.

Change: the parser is reset with each request; the timeouts for header and body are off, as requests are framed and limited here.

--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -28,9 +28,10 @@
 namespace pistache_tcp = Pistache::Tcp;
 
 constexpr const char* kConnectionData = "limpetrouter.connection";
-/// Serves as header, body and keep-alive timeout: Pistache measures the header and body timeouts from the previous
-/// request of the connection, so a shorter one would abort a request on a connection that was idle before.
-constexpr std::chrono::seconds kIdleTimeout{300};
+/// Pistache's timeouts for the header and the body of a request, which it answers with 408. They also count while the
+/// answer to a complete request is awaited, and 408 promises that the request was not executed. Requests are framed and
+/// limited here, so that they are not needed.
+constexpr std::chrono::hours kNoTimeout{24 * 365};
 constexpr int kBacklog = 1024;
 constexpr int kHeaderFieldsTooLarge = 431;
 
@@ -313,6 +314,8 @@
     }
     c->input.erase(0, parsed.size);
     c->continue_sent = false;
+    // Pistache measures the idle time from the last reset of its parser, which an opaque server does not use otherwise.
+    getParser(peer)->reset();
     peer->setIdle(false);
     const auto version = pistache_http::Version::Http11;
     const reply_handle handle = AddExchange(c, version, parsed.close, parsed.method == "HEAD");
@@ -414,18 +417,31 @@
 struct http_server::impl {
   std::string address;
   std::uint32_t threads = 1;
+  std::chrono::milliseconds idle_timeout{};
   std::shared_ptr<server_state> state = std::make_shared<server_state>();
   std::unique_ptr<pistache_http::Endpoint> endpoint;
 };
 
+namespace {
+
+http_server_options OptionsFor(const settings& settings) {
+  http_server_options options;
+  options.address = settings.listen_http;
+  options.threads = settings.threads;
+  options.max_request_bytes = settings.max_request_bytes;
+  options.max_pending = settings.max_pending_requests;
+  return options;
+}
+
+}  // namespace
+
 http_server::http_server(const settings& settings, http_observer observer)
-    : http_server(http_server_options{settings.listen_http, settings.threads, settings.max_request_bytes,
-                                      settings.max_pending_requests, false},
-                  std::move(observer)) {}
+    : http_server(OptionsFor(settings), std::move(observer)) {}
 
 http_server::http_server(const http_server_options& options, http_observer observer) : impl_(std::make_unique<impl>()) {
   impl_->address = options.address;
   impl_->threads = options.threads;
+  impl_->idle_timeout = options.idle_timeout;
   impl_->state->observer = std::move(observer);
   impl_->state->max_request_bytes = options.max_request_bytes;
   impl_->state->max_pending = options.max_pending;
@@ -442,9 +458,9 @@
         .flags(pistache_tcp::Options::ReuseAddr | pistache_tcp::Options::NoDelay)
         .backlog(kBacklog)
         .maxRequestSize(impl_->state->max_request_bytes)
-        .headerTimeout(kIdleTimeout)
-        .bodyTimeout(kIdleTimeout)
-        .keepaliveTimeout(kIdleTimeout);
+        .headerTimeout(kNoTimeout)
+        .bodyTimeout(kNoTimeout)
+        .keepaliveTimeout(impl_->idle_timeout);
     impl_->endpoint->init(options);
     impl_->endpoint->setHandler(std::make_shared<request_handler>(impl_->state));
     impl_->endpoint->serveThreaded();
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -52,6 +52,8 @@
   std::size_t max_request_bytes = 128 * 1024;
   /// Further requests are refused with kOverloaded while this many requests wait for their answer.
   std::size_t max_pending = 50'000;
+  /// A connection without a request in progress is closed this long after its last request arrived.
+  std::chrono::milliseconds idle_timeout = std::chrono::seconds(300);
   /// An opaque server passes requests on with an undecoded target and all header fields, and accepts chunked bodies.
   bool opaque = false;
 };
--- a/tests/shell/http_server_test.cc
+++ b/tests/shell/http_server_test.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <mutex>
+#include <thread>
 #include <vector>
 
 #include <fmt/format.h>
@@ -205,6 +206,60 @@
   }
 };
 
+// Guards against requests that are answered 408 although they are executed: the HTTP library measured its timeouts from
+// the start of the connection, or from an earlier request, and applied them to a request in progress.
+TEST_CASE("the idle timeout ends neither a request in progress nor a connection in use") {
+  constexpr milliseconds kIdleTimeout{800};
+  struct row {
+    std::string name;
+    int requests;
+    milliseconds answer_time;
+    milliseconds pause;
+    bool stays_open;
+  };
+  const auto r = GENERATE(values<row>({
+      {"a request that takes longer", 1, milliseconds(2'400), milliseconds(0), true},
+      {"requests without a pause", 8, milliseconds(300), milliseconds(0), true},
+      {"requests with pauses", 8, milliseconds(1), milliseconds(300), true},
+      {"an idle connection", 1, milliseconds(1), milliseconds(2'400), false},
+  }));
+  const bool opaque = GENERATE(true, false);
+  INFO(r.name << (opaque ? ", opaque" : ""));
+  std::mutex mutex;
+  std::vector<reply_handle> received;
+  http_server_options options;
+  options.address = FreeAddress();
+  options.opaque = opaque;
+  options.idle_timeout = kIdleTimeout;
+  http_server server(options, http_observer{[&](reply_handle handle, const http_request&) {
+                                              const std::lock_guard lock(mutex);
+                                              received.push_back(handle);
+                                            },
+                                            [](reply_handle) {}});
+  REQUIRE(server.Start().has_value());
+  const int fd = ConnectTo(options.address);
+  for (int i = 0; i < r.requests; ++i) {
+    const auto count = static_cast<std::size_t>(i) + 1;
+    SendText(fd, Get("/" + std::to_string(i)));
+    REQUIRE(Eventually([&] {
+      const std::lock_guard lock(mutex);
+      return received.size() == count;
+    }));
+    std::this_thread::sleep_for(r.answer_time);
+    server.Answer(received.back(), {200, "\"done\"", true});
+    const std::string answer = ReadUntil(fd, "\"done\"");
+    REQUIRE(answer.starts_with("HTTP/1.1 200"));
+    std::this_thread::sleep_for(r.pause);
+  }
+  SendText(fd, Get("/last"));
+  const bool open = Eventually([&] {
+    const std::lock_guard lock(mutex);
+    return received.size() == static_cast<std::size_t>(r.requests) + 1;
+  });
+  CHECK(open == r.stays_open);
+  ::close(fd);
+}
+
 // Guards against a forwarded body that depends on its framing in the request, and against refusals that a caller cannot
 // recognize by their status.
 TEST_CASE("an opaque server accepts any framing and refuses invalid requests") {
