Leave servers alone for the pause that their 503 asks for

The product did not read Retry-After of servers and went on sending requests to a server that wanted none.

Change: the adapter decodes the seconds from a server's own 503. Until the end of the pause the server is not chosen for any call of this instance; then it gets one call until it has served one. A pause is no failure: it neither ejects nor raises the failure share. A request that only paused servers could serve is refused at once, with the time left.

--- a/core/forwarding/forwarding.cc
+++ b/core/forwarding/forwarding.cc
@@ -157,6 +157,7 @@
                         {"missing_ms", AgeMs(each.missing_since, now)},
                         {"misdirected", each.misdirected},
                         {"ejected_for_ms", std::max<std::int64_t>(0, base::ToMilliseconds(each.ejected_until - now))},
+                        {"pause_left_ms", std::max<std::int64_t>(0, base::ToMilliseconds(each.backs_off_until - now))},
                         {"running", each.running.size()},
                         {"slowness", each.slowness},
                         {"failure_share", each.failure_share},
--- a/core/forwarding/messages.h
+++ b/core/forwarding/messages.h
@@ -87,6 +87,8 @@
   std::optional<rate_limit_statement> rate_limit;
   /// The backend server has stated that it is about to leave.
   bool server_leaving = false;
+  /// How long the backend server, which has turned the request away, wants no requests from this instance.
+  std::optional<base::duration> back_off;
   /// How long the backend server keeps the idle connection, if it stated this.
   std::optional<base::duration> keep_alive;
   bool opened_connection = false;
--- a/core/forwarding/request_outcome.cc
+++ b/core/forwarding/request_outcome.cc
@@ -30,7 +30,8 @@
     if (part.result.has_value()) continue;
     for (const base::backend_server_id& id : ServersOf(tables.servers, part.service)) {
       const server& each = tables.servers.servers.at(id);
-      const base::time_point possible = std::max(each.ejected_until, NextCallTime(tables.servers, each, now));
+      const base::time_point resumed = std::max(each.ejected_until, each.backs_off_until);
+      const base::time_point possible = std::max(resumed, NextCallTime(tables.servers, each, now));
       if (possible > now && (!earliest.has_value() || possible < *earliest)) earliest = possible;
     }
   }
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -42,6 +42,8 @@
   const bool refused = result.failure == error_kind::kConnectFailed ||
                        (result.failure == error_kind::kConnectionLost && result.opened_connection);
   if (refused && result.elapsed < kRefusalTime) return call_verdict::kConnectionRefused;
+  // A server that asks for a pause is not broken, and gets no calls meanwhile.
+  if (result.back_off.has_value()) return call_verdict::kNeutral;
   if (!result.failure.has_value())
     return result.status < kFirstServerError ? call_verdict::kServed : call_verdict::kFailed;
   switch (*result.failure) {
@@ -87,6 +89,17 @@
                          {"entry_age_ms", std::to_string(base::ToMilliseconds(ctx.now - target.record_read_at))}});
 }
 
+void NoteStatedPause(instance::context& ctx, server& target, const call& ended, const call_result& result) {
+  if (!result.back_off.has_value() || ended.incarnation != target.record.incarnation) return;
+  const bool paused = target.backs_off_until > ctx.now;
+  NoteBackOff(target, *result.back_off, ctx.now);
+  if (paused) return;
+  instance::LogDecision(ctx, "server_pause",
+                        {{"backend_server", ended.server.value},
+                         {"service", target.record.service.value},
+                         {"for_ms", std::to_string(base::ToMilliseconds(target.backs_off_until - ctx.now))}});
+}
+
 void NoteServerResult(forwarding_tables& tables, instance::context& ctx, call_id id, const call& ended,
                       const call_result& result) {
   const auto found = tables.servers.servers.find(ended.server);
@@ -104,6 +117,7 @@
   }
   if (result.rate_limit.has_value()) NoteRateLimit(tables.servers, target, ctx, *result.rate_limit, ended.started);
   NoteStatedLeave(ctx, target, ended, result);
+  NoteStatedPause(ctx, target, ended, result);
   if (result.keep_alive.has_value()) target.max_idle = *result.keep_alive;
   if (result.failure == error_kind::kBackendReplaced && !target.misdirected) {
     target.misdirected = true;
--- a/core/forwarding/server_choice.cc
+++ b/core/forwarding/server_choice.cc
@@ -82,7 +82,7 @@
 }
 
 bool IsUsable(const server& each, const choice_rules& rules, base::time_point now) {
-  if (!AcceptsRequests(each) || each.ejected_until > now) return false;
+  if (!AcceptsRequests(each, now) || each.ejected_until > now) return false;
   const auto& excluded = *rules.excluded;
   return std::find(excluded.begin(), excluded.end(), each.record.id) == excluded.end();
 }
@@ -123,9 +123,10 @@
   for (const base::backend_server_id& id : ServersOf(table, service)) {
     const server& each = table.servers.at(id);
     if (!IsUsable(each, rules, now)) continue;
-    // After an ejection, one call at a time probes whether the server works again.
+    // After an ejection or a pause, one call at a time shows whether the server works again.
     const std::size_t limit = each.connection_limit_until > now ? each.connection_limit : rules.max_running;
-    const std::size_t max_calls = each.ejections > 0 ? 1 : std::min<std::size_t>(limit, rules.max_running);
+    const std::size_t max_calls =
+        each.ejections > 0 || each.resumes ? 1 : std::min<std::size_t>(limit, rules.max_running);
     const bool full = each.running.size() >= max_calls || EstimateWork(each, now) >= rules.max_work * each.record.slots;
     const bool busy = rules.is_hedge && (EstimateWork(each, now) >= each.record.slots || OverdueOf(each, now) > 0 ||
                                          each.limit.has_value());
@@ -174,6 +175,7 @@
       AddFailureSample(server, 0, now);
       server.failures_in_row = 0;
       server.ejections = 0;
+      server.resumes = false;
       server.served_at = now;
       server.lost_calls.clear();
       break;
--- a/core/forwarding/server_table.cc
+++ b/core/forwarding/server_table.cc
@@ -237,7 +237,14 @@
   return changes;
 }
 
-bool AcceptsRequests(const server& each) { return !each.record.draining && !each.leaving && !each.misdirected; }
+bool AcceptsRequests(const server& each, base::time_point now) {
+  return !each.record.draining && !each.leaving && !each.misdirected && each.backs_off_until <= now;
+}
+
+void NoteBackOff(server& each, base::duration time, base::time_point now) {
+  each.backs_off_until = std::max(each.backs_off_until, now + time);
+  each.resumes = true;
+}
 
 const std::vector<base::backend_server_id>& ServersOf(const server_table& table, const base::service_id& service) {
   static const std::vector<base::backend_server_id> none;
--- a/core/forwarding/server_table.h
+++ b/core/forwarding/server_table.h
@@ -71,6 +71,10 @@
   std::uint32_t failures_in_row = 0;
   std::uint32_t ejections = 0;
   base::time_point ejected_until{};
+  /// The server has asked for no requests from this instance until this time.
+  base::time_point backs_off_until{};
+  /// The server has asked for a pause and has served no call since its end, so it gets one call at a time.
+  bool resumes = false;
   /// When the server last served a call of this instance.
   base::time_point served_at{};
   /// Number of connections that the server accepts from this instance, until `connection_limit_until`.
@@ -149,7 +153,10 @@
 published_changes ChangesSince(const server_table& table, const store_position& position);
 
 /// True if the server may get new requests as far as it and the service registry have stated.
-bool AcceptsRequests(const server& each);
+bool AcceptsRequests(const server& each, base::time_point now);
+/// Records that the server wants no requests from this instance for a time. A shorter statement does not end a longer
+/// one: the server may have made it first, as answers overtake each other.
+void NoteBackOff(server& each, base::duration time, base::time_point now);
 
 const std::vector<base::backend_server_id>& ServersOf(const server_table& table, const base::service_id& service);
 
--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -252,6 +252,54 @@
   CHECK(shell::FindHeader(result.headers, "Server-Leaving") == nullptr);
 }
 
+// Guards against a pause that is missed, or that a damaged field or another server states.
+TEST_CASE("the pause that a server asks for is decoded from its own 503 only") {
+  using std::chrono::milliseconds;
+  struct row {
+    int status;
+    http_headers headers;
+    std::optional<core::base::duration> pause;
+  };
+  const http_headers own = {{"X-Attempt-Id", "a1"}, {"X-Server-Stamp", "s"}};
+  const auto with = [&own](const std::string& value) {
+    http_headers changed = own;
+    changed.emplace_back("retry-after", value);
+    return changed;
+  };
+  http_headers two = with("1");
+  two.emplace_back("Retry-After", "2.5");
+  const auto r = GENERATE_COPY(values<row>({
+      {503, with("2"), milliseconds(2'000)},
+      {503, with("0.25"), milliseconds(250)},
+      {503, {{"X-Not-Executed", "1"}, {"Retry-After", "1.5"}}, milliseconds(1'500)},
+      {503, two, milliseconds(2'500)},
+      {503, with("90000"), std::chrono::hours(1)},
+      {503, with(std::string(1'000, '9')), {}},
+      {503, own, {}},
+      {503, with(""), {}},
+      {503, with("0"), {}},
+      {503, with("-1"), {}},
+      {503, with("1e3"), {}},
+      {503, with("inf"), {}},
+      {503, with("2 s"), {}},
+      {503, with("Sat, 05 Dec 2026 17:00:00 GMT"), {}},
+      {429, {{"X-Not-Executed", "1"}, {"Retry-After", "1.5"}}, {}},
+      {500, with("2"), {}},
+      {200, with("2"), {}},
+      {503, {{"X-Attempt-Id", "a2"}, {"X-Server-Stamp", "s"}, {"Retry-After", "2"}}, {}},
+      {503, {{"Retry-After", "2"}}, {}},
+  }));
+  const std::string* const text = shell::FindHeader(r.headers, "retry-after");
+  INFO(r.status << " " << (text == nullptr ? "" : text->substr(0, 40)));
+  core::forwarding::request request;
+  request.attempt = "a1";
+  shell::transfer_result ended;
+  ended.outcome = transfer_outcome::kAnswered;
+  ended.status = r.status;
+  ended.headers = r.headers;
+  CHECK(DecodeResult(request, std::move(ended)).back_off == r.pause);
+}
+
 // Guards against this instance's own answer carrying a backend server's proof, and against hidden missing parts.
 TEST_CASE("a merged answer states its parts and the missing ones, and a failure carries no proof") {
   core::forwarding::request request;
