--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -60,6 +60,17 @@
   CHECK(request.error().kind == error_kind::kInvalidRequest);
 }
 
+/// Decodes the end of a call of request "a1".
+core::forwarding::call_result DecodeAnswer(transfer_outcome outcome, int status, const http_headers& headers) {
+  core::forwarding::request request;
+  request.attempt = "a1";
+  shell::transfer_result ended;
+  ended.outcome = outcome;
+  ended.status = status;
+  ended.headers = headers;
+  return DecodeResult(request, std::move(ended));
+}
+
 // Guards against an answer to another request, a damaged answer or one of another program that is taken for the backend
 // server's, and against the promise "not executed" without the server's statement.
 TEST_CASE("an answer is accepted only if it is complete, signed and for this request") {
@@ -192,13 +203,7 @@
       {200, {{"X-Attempt-Id", "a2"}, {"X-Server-Stamp", "s"}, {"Server-Limit", "5"}}, false, {}},
       {421, {{"X-Instance-Id", "i-2"}, {"Server-Limit", "5"}}, false, {}},
   }));
-  core::forwarding::request request;
-  request.attempt = "a1";
-  shell::transfer_result ended;
-  ended.outcome = transfer_outcome::kAnswered;
-  ended.status = r.status;
-  ended.headers = r.headers;
-  const core::forwarding::call_result result = DecodeResult(request, std::move(ended));
+  const core::forwarding::call_result result = DecodeAnswer(transfer_outcome::kAnswered, r.status, r.headers);
   REQUIRE(result.rate_limit.has_value() == r.states);
   if (!r.states) return;
   REQUIRE(result.rate_limit->limit.has_value() == r.per_second.has_value());
@@ -241,13 +246,7 @@
       {transfer_outcome::kTruncated, 200, with("1"), false},
   }));
   INFO(ToString(r.outcome) << " " << r.status);
-  core::forwarding::request request;
-  request.attempt = "a1";
-  shell::transfer_result ended;
-  ended.outcome = r.outcome;
-  ended.status = r.status;
-  ended.headers = r.headers;
-  const core::forwarding::call_result result = DecodeResult(request, std::move(ended));
+  const core::forwarding::call_result result = DecodeAnswer(r.outcome, r.status, r.headers);
   CHECK(result.server_leaving == r.leaving);
   CHECK(shell::FindHeader(result.headers, "Server-Leaving") == nullptr);
 }
@@ -291,13 +290,7 @@
   }));
   const std::string* const text = shell::FindHeader(r.headers, "retry-after");
   INFO(r.status << " " << (text == nullptr ? "" : text->substr(0, 40)));
-  core::forwarding::request request;
-  request.attempt = "a1";
-  shell::transfer_result ended;
-  ended.outcome = transfer_outcome::kAnswered;
-  ended.status = r.status;
-  ended.headers = r.headers;
-  CHECK(DecodeResult(request, std::move(ended)).back_off == r.pause);
+  CHECK(DecodeAnswer(transfer_outcome::kAnswered, r.status, r.headers).back_off == r.pause);
 }
 
 // Guards against this instance's own answer carrying a backend server's proof, and against hidden missing parts.
