--- a/core/peer/messages.h
+++ b/core/peer/messages.h
@@ -50,11 +50,13 @@
   fact_kind kind = fact_kind::kBackendDraining;
   /// Backend server id, instance id of an instance that is busy or cut off from the backend servers, or fingerprint as
   /// 16 hexadecimal digits. For the end of a drain: backend server id, "/" and the incarnation that has ended as 16
-  /// hexadecimal digits.
+  /// hexadecimal digits. For a suspected request, "/repeated" behind the fingerprint states a further crash, and
+  /// "/answered" that a backend server has answered the request.
   std::string subject;
   /// For a drain: the generation of the backend server's inventory entry under which the drain was observed. A higher
-  /// generation ends the drain. For a suspected request: 1 if no other request can have caused the crash. For an
-  /// instance that is cut off: the number of the statement; a later one replaces an earlier one.
+  /// generation ends the drain. For a suspected request: 1 if no other request can have caused the crash; for a
+  /// further crash, the hash of the id of the backend server. For an instance that is cut off: the number of the
+  /// statement; a later one replaces an earlier one.
   std::uint64_t revision = 0;
   /// For a drain: the incarnation of the draining backend server, from its load report; 0 if unknown. For a suspected
   /// request: hash of the id of the backend server that crashed. For an instance: 1 if it is cut off from the backend
