Obey orders to evacuate a data centre

The orders are read with the rest of the store, kept beside the servers and checked by AcceptsRequests, which all first calls, retries, hedges and waiting parts pass. Followers get them by a message of their own, as the existing ones must keep their format: it is sent when the store's revision has changed, and with each update while an order is in force. A follower that knows an order asks whether it has been lifted. An instance that reads the store by itself after updates without orders lists it once. An order that a restored store lacks is kept until it could have been written again.

--- a/cli/forwarding.cc
+++ b/cli/forwarding.cc
@@ -34,6 +34,10 @@
       CellOf(report, "instance"), CellOf(routing, "version"), CellOf(routing, "age_ms"), CellOf(routing, "routes"),
       CellOf(read, "epoch"), CellOf(read, "revision"), CellOf(read, "age_ms"), CellOf(read, "failures"),
       CellOf(read, "followers"));
+  for (const json& order : routing.value("evacuations", json::array())) {
+    fmt::print("data centre {} is evacuated since {} ms (revision {})\n", CellOf(order, "data_centre"),
+               CellOf(order, "age_ms"), CellOf(order, "revision"));
+  }
   table servers{{"BACKEND SERVER", "SERVICE", "ADDRESS", "REVISION", "ENTRY AGE MS", "RUNNING", "EJECTED MS", "STATE"},
                 {}};
   for (const json& each : report.at("backend_servers")) {
@@ -41,6 +45,7 @@
     if (each.value("limit_age_ms", std::int64_t{-1}) >= 0)
       state = fmt::format("limited to {:.1f} per second", each.value("limit_per_second", 0.0));
     if (each.value("missing_ms", std::int64_t{-1}) >= 0) state = "missing";
+    if (each.value("evacuated", false)) state = "evacuated";
     if (each.value("misdirected", false)) state = "replaced";
     if (each.value("draining", false)) state = "draining";
     servers.rows.push_back({CellOf(each, "id"), CellOf(each, "service"), CellOf(each, "address"),
--- a/core/forwarding/forwarding.cc
+++ b/core/forwarding/forwarding.cc
@@ -39,6 +39,21 @@
   }
 }
 
+void LogEvacuations(const forwarding_tables& tables, instance::context& ctx,
+                    const std::vector<evacuation_change>& changes) {
+  for (const evacuation_change& change : changes) {
+    const auto& servers = tables.servers.servers;
+    const auto affected = std::count_if(servers.begin(), servers.end(), [&change](const auto& item) {
+      return item.second.record.data_centre == change.data_centre;
+    });
+    instance::LogDecision(ctx, "evacuation",
+                          {{"data_centre", change.data_centre.value},
+                           {"change", change.what},
+                           {"revision", std::to_string(change.revision)},
+                           {"servers", std::to_string(affected)}});
+  }
+}
+
 void ApplyRouting(forwarding_tables& tables, instance::context& ctx, const routing_table_ptr& routing,
                   std::uint64_t revision) {
   if (routing == nullptr) return;
@@ -79,6 +94,15 @@
   published_changes changes = event.changes;
   changes.position = tables.store.position;
   Apply(tables, ctx, changes);
+  const evacuation_changes evacuations{changes.complete, changes.position, changes.evacuated,
+                                       changes.evacuations_lifted};
+  LogEvacuations(tables, ctx, ApplyEvacuations(tables.servers.evacuations, evacuations, ctx.now));
+}
+
+void HandleEvacuationUpdate(forwarding_tables& tables, instance::context& ctx, const peer::evacuation_update& update) {
+  if (!tables.enabled) return;
+  const evacuation_changes changes{true, update.position, update.evacuations, {}};
+  LogEvacuations(tables, ctx, ApplyEvacuations(tables.servers.evacuations, changes, ctx.now));
 }
 
 void HandlePublishedFailed(forwarding_tables& tables, instance::context& ctx, const io::published_read_failed& event) {
@@ -102,7 +126,11 @@
   if (!tables.enabled) return;
   RunLoadReport(tables, ctx);
   RunSpread(tables, ctx);
-  if (MustRead(tables, ctx)) RunReader(tables.store, ctx);
+  if (MustRead(tables, ctx)) {
+    // A watch shows only later orders, and updates of other instances do not always come with the orders.
+    if (tables.servers.evacuations.position < tables.store.position) RequireCompleteList(tables.store);
+    RunReader(tables.store, ctx);
+  }
   RunContact(tables, ctx);
   RunRequests(tables, ctx);
   const bool ready = IsReady(tables) && !ctx.leaving;
@@ -114,6 +142,7 @@
   UpdateEntryCount(tables, ctx);
   UpdateLimitShare(tables, ctx);
   LogChanges(ctx, UpdateDoubtful(tables.servers, EntryLifetime(tables.bounds), ctx.now));
+  LogEvacuations(tables, ctx, ExpireMissingOrders(tables.servers.evacuations, ctx.now));
   ReportRateLimits(tables.servers, ctx);
 }
 
@@ -135,6 +164,14 @@
                     {"age_ms", AgeMs(tables.store.last_success, now)},
                     {"failures", tables.store.failures},
                     {"followers", tables.spread.followers.size()}};
+  nlohmann::json evacuations = nlohmann::json::array();
+  for (const auto& [data_centre, order] : tables.servers.evacuations.orders) {
+    evacuations.push_back({{"data_centre", data_centre.value},
+                           {"revision", order.revision},
+                           {"age_ms", AgeMs(order.learned, now)},
+                           {"missing_ms", AgeMs(order.missing_since, now)}});
+  }
+  report["evacuations"] = std::move(evacuations);
   report["server_contact"] = {{"state", std::string(ToString(tables.contact.state))},
                               {"answer_age_ms", AgeMs(tables.contact.last_answer, now)},
                               {"relayed_requests", tables.relays.size()}};
@@ -152,6 +189,7 @@
                         {"data_centre", each.record.data_centre.value},
                         {"draining", each.record.draining},
                         {"leaving", each.leaving},
+                        {"evacuated", IsEvacuated(tables.servers.evacuations, each.record.data_centre)},
                         {"revision", each.record.revision},
                         {"entry_age_ms", AgeMs(each.record_read_at, now)},
                         {"missing_ms", AgeMs(each.missing_since, now)},
--- a/core/forwarding/forwarding.h
+++ b/core/forwarding/forwarding.h
@@ -14,6 +14,8 @@
 /// Applies what another instance has read from the platform.
 void HandlePublicationUpdate(forwarding_tables& tables, instance::context& ctx, const peer::message_header& header,
                              const peer::publication_update& update);
+/// Applies the evacuated data centres that another instance has read from the platform.
+void HandleEvacuationUpdate(forwarding_tables& tables, instance::context& ctx, const peer::evacuation_update& update);
 /// Handles a pause of the process: the platform is read again, because the known state may be outdated.
 void HandlePause(forwarding_tables& tables, instance::context& ctx);
 void RunForwarding(forwarding_tables& tables, instance::context& ctx);
--- a/core/forwarding/messages.h
+++ b/core/forwarding/messages.h
@@ -154,6 +154,28 @@
   }
 };
 
+/// An operator's order that the backend servers of a data centre get no requests.
+struct evacuation_record {
+  base::data_centre_id data_centre;
+  /// Revision of the order in the store, in the epoch of the changes or the message that hold the record.
+  std::uint64_t revision = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(data_centre, revision);
+  }
+};
+
+/// Changes of the evacuated data centres up to a position, or all of them.
+struct evacuation_changes {
+  /// True if `ordered` holds all orders in force.
+  bool complete = false;
+  store_position position;
+  std::vector<evacuation_record> ordered;
+  /// Data centres whose orders were removed, with the revision of the removal.
+  std::vector<std::pair<base::data_centre_id, std::uint64_t>> lifted;
+};
+
 /// What the platform publishes: changes up to a position, or the complete state.
 struct published_changes {
   /// Number of the read that returned the changes; 0 if another instance sent them.
@@ -165,6 +187,9 @@
   std::vector<server_record> servers;
   /// Entries that were deleted, with the revision of the deletion.
   std::vector<std::pair<base::backend_server_id, std::uint64_t>> removed;
+  /// Changes of the evacuated data centres. Their position and completeness are those of all changes.
+  std::vector<evacuation_record> evacuated;
+  std::vector<std::pair<base::data_centre_id, std::uint64_t>> evacuations_lifted;
   /// The newest configuration, or null.
   routing_table_ptr routing;
   /// Entries that could not be decoded, with the reason.
--- a/core/forwarding/publication_spread.cc
+++ b/core/forwarding/publication_spread.cc
@@ -120,6 +120,11 @@
                          {"data_age_ms", std::to_string(base::ToMilliseconds(ctx.now - tables.store.last_success))}});
 }
 
+void SendEvacuations(const forwarding_tables& tables, instance::context& ctx, const base::instance_id& id) {
+  const evacuation_table& evacuations = tables.servers.evacuations;
+  instance::SendToPeer(ctx, id, peer::evacuation_update{evacuations.position, EvacuationRecords(evacuations)});
+}
+
 /// Sends the follower the changes since the revision that it knows.
 void SendUpdate(forwarding_tables& tables, instance::context& ctx, const base::instance_id& id, follower& target) {
   const published_changes changes = ChangesSince(tables.servers, target.position);
@@ -135,6 +140,11 @@
   target.position = tables.store.position;
   target.routing_version = tables.routing == nullptr ? 0 : tables.routing->version;
   instance::SendToPeer(ctx, id, std::move(update));
+  // Orders in force are repeated, as a message may be lost. A follower asks by itself whether they have been lifted.
+  const evacuation_table& evacuations = tables.servers.evacuations;
+  if (evacuations.orders.empty() && target.evacuations == evacuations.position) return;
+  target.evacuations = evacuations.position;
+  SendEvacuations(tables, ctx, id);
 }
 
 /// True if this instance has data, but neither the platform nor another instance has confirmed them recently.
@@ -172,6 +182,8 @@
   ++spread.unanswered_requests;
   const std::uint64_t version = tables.routing == nullptr ? 0 : tables.routing->version;
   instance::SendToPeer(ctx, *source, peer::publication_request{tables.store.position, version});
+  const evacuation_table& evacuations = tables.servers.evacuations;
+  if (!evacuations.orders.empty()) instance::SendToPeer(ctx, *source, peer::evacuation_request{evacuations.position});
 }
 
 }  // namespace
@@ -205,10 +217,20 @@
   // An instance without data sends no answer, so that the follower asks another reader.
   if (!tables.enabled || tables.store.last_success == base::time_point{}) return;
   follower& target = tables.spread.followers[header.sender.id];
-  target = {request.position, request.routing_version, ctx.now + kFollowerTime};
+  target.position = request.position;
+  target.routing_version = request.routing_version;
+  target.expires_at = ctx.now + kFollowerTime;
   SendUpdate(tables, ctx, header.sender.id, target);
 }
 
+void HandleEvacuationRequest(forwarding_tables& tables, instance::context& ctx, const peer::message_header& header,
+                             const peer::evacuation_request& request) {
+  const evacuation_table& evacuations = tables.servers.evacuations;
+  // Orders in force are sent with each update.
+  if (!tables.enabled || !evacuations.orders.empty() || evacuations.position < request.position) return;
+  SendEvacuations(tables, ctx, header.sender.id);
+}
+
 std::optional<published_changes> AcceptPublicationUpdate(forwarding_tables& tables, instance::context& ctx,
                                                          const peer::message_header& header,
                                                          const peer::publication_update& update) {
--- a/core/forwarding/publication_spread.h
+++ b/core/forwarding/publication_spread.h
@@ -25,4 +25,8 @@
                                                          const peer::message_header& header,
                                                          const peer::publication_update& update);
 
+/// Answers an instance that asks for the evacuated data centres.
+void HandleEvacuationRequest(forwarding_tables& tables, instance::context& ctx, const peer::message_header& header,
+                             const peer::evacuation_request& request);
+
 }  // namespace limpetrouter::core::forwarding
--- a/core/forwarding/request_outcome.cc
+++ b/core/forwarding/request_outcome.cc
@@ -49,7 +49,7 @@
 }
 
 /// Describes the parts that have no result, for the log and the caller.
-std::string DescribeMissingParts(const active_request& request) {
+std::string DescribeMissingParts(const forwarding_tables& tables, const active_request& request) {
   std::string pending;
   std::string failed;
   for (const request_part& part : request.parts) {
@@ -57,9 +57,12 @@
     std::string& list = part.calls.empty() && !part.waiting ? failed : pending;
     list += (list.empty() ? "" : ",") + part.service.value;
   }
-  const std::string detail(request.last_failure == error_kind::kOverloaded
-                               ? "the rate limits that its backend servers state are used up"
-                               : base::DescribeError(request.last_failure).message);
+  std::string detail(request.last_failure == error_kind::kOverloaded
+                         ? "the rate limits that its backend servers state are used up"
+                         : base::DescribeError(request.last_failure).message);
+  const evacuation_table& evacuations = tables.servers.evacuations;
+  if (request.last_failure == error_kind::kNoUsableReplica && !evacuations.orders.empty())
+    detail += "; evacuated data centres: " + DescribeEvacuations(evacuations);
   if (!failed.empty()) return fmt::format("{}: {}", failed, detail);
   return fmt::format("no answer from {}", pending);
 }
@@ -72,7 +75,7 @@
     if (!part.calls.empty()) executed = CombineExecuted(executed, executed_state::kUnknown);
   }
   if (request.relay.has_value()) executed = CombineExecuted(executed, executed_state::kUnknown);
-  return MakeFailure({kind, DescribeMissingParts(request)}, executed, RetryAfter(tables, request, now));
+  return MakeFailure({kind, DescribeMissingParts(tables, request)}, executed, RetryAfter(tables, request, now));
 }
 
 struct progress {
--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -157,6 +157,8 @@
   store_position position;
   std::uint64_t routing_version = 0;
   base::time_point expires_at{};
+  /// Position of the evacuated data centres that were sent last.
+  store_position evacuations;
 };
 
 enum class spread_role : std::uint8_t { kFollower, kReader, kStandby };
--- a/core/forwarding/server_choice.cc
+++ b/core/forwarding/server_choice.cc
@@ -81,8 +81,8 @@
   return cost;
 }
 
-bool IsUsable(const server& each, const choice_rules& rules, base::time_point now) {
-  if (!AcceptsRequests(each, now) || each.ejected_until > now) return false;
+bool IsUsable(const server_table& table, const server& each, const choice_rules& rules, base::time_point now) {
+  if (!AcceptsRequests(table, each, now) || each.ejected_until > now) return false;
   const auto& excluded = *rules.excluded;
   return std::find(excluded.begin(), excluded.end(), each.record.id) == excluded.end();
 }
@@ -122,7 +122,7 @@
   std::uint64_t ties = 0;
   for (const base::backend_server_id& id : ServersOf(table, service)) {
     const server& each = table.servers.at(id);
-    if (!IsUsable(each, rules, now)) continue;
+    if (!IsUsable(table, each, rules, now)) continue;
     // After an ejection or a pause, one call at a time shows whether the server works again.
     const std::size_t limit = each.connection_limit_until > now ? each.connection_limit : rules.max_running;
     const std::size_t max_calls =
--- a/core/forwarding/server_contact.cc
+++ b/core/forwarding/server_contact.cc
@@ -82,7 +82,8 @@
   for (const auto& [service, ids] : tables.servers.by_service) {
     for (const base::backend_server_id& id : ids) {
       const server& each = tables.servers.servers.at(id);
-      const bool usable = !each.record.draining && each.missing_since == base::time_point{};
+      const bool usable = !each.record.draining && each.missing_since == base::time_point{} &&
+                          !IsEvacuated(tables.servers.evacuations, each.record.data_centre);
       if (usable && !tables.contact.refusing.contains(id)) candidates.push_back(id);
     }
   }
--- a/core/forwarding/server_table.cc
+++ b/core/forwarding/server_table.cc
@@ -237,7 +237,8 @@
   return changes;
 }
 
-bool AcceptsRequests(const server& each, base::time_point now) {
+bool AcceptsRequests(const server_table& table, const server& each, base::time_point now) {
+  if (IsEvacuated(table.evacuations, each.record.data_centre)) return false;
   return !each.record.draining && !each.leaving && !each.misdirected && each.backs_off_until <= now;
 }
 
--- a/core/forwarding/server_table.h
+++ b/core/forwarding/server_table.h
@@ -11,6 +11,7 @@
 #include "core/base/random.h"
 #include "core/base/strong_id.h"
 #include "core/base/time.h"
+#include "core/forwarding/evacuation.h"
 #include "core/forwarding/messages.h"
 
 namespace limpetrouter::core::forwarding {
@@ -125,6 +126,7 @@
   std::unordered_map<base::backend_server_id, returned_entry> returned;
   /// `removals` holds all removals after this revision.
   std::uint64_t removals_since = 0;
+  evacuation_table evacuations;
   /// This instance's share of each rate limit that a server states for all instances together, from 0 to 1.
   double limit_share = 1;
   /// Differs between instances, so that they use their shares of low limits at different times.
@@ -152,8 +154,8 @@
 /// removals are not known that far back.
 published_changes ChangesSince(const server_table& table, const store_position& position);
 
-/// True if the server may get new requests as far as it and the service registry have stated.
-bool AcceptsRequests(const server& each, base::time_point now);
+/// True if the server may get new requests as far as it, the service registry and the operators have stated.
+bool AcceptsRequests(const server_table& table, const server& each, base::time_point now);
 /// Records that the server wants no requests from this instance for a time. A shorter statement does not end a longer
 /// one: the server may have made it first, as answers overtake each other.
 void NoteBackOff(server& each, base::duration time, base::time_point now);
--- a/core/forwarding/store_reader.cc
+++ b/core/forwarding/store_reader.cc
@@ -143,6 +143,11 @@
   return true;
 }
 
+void RequireCompleteList(store_reader& reader) {
+  if (reader.state != reader_state::kIdle || reader.needs_list) return;
+  reader.needs_list = reader.needs_fresh_list = true;
+}
+
 void RestartRead(store_reader& reader, base::time_point now) {
   reader.state = reader_state::kIdle;
   reader.next_read = now;
--- a/core/forwarding/store_reader.h
+++ b/core/forwarding/store_reader.h
@@ -46,6 +46,8 @@
 /// Records an update from another instance, which read the platform up to `position`, `age` ago. Returns false if the
 /// update must not be applied, because more is known already or the store has been restored since.
 bool NotePeerRead(store_reader& reader, const store_position& position, base::duration age, base::time_point now);
+/// Makes the next read a list that is not stale, because a watch would not show all that is missing here.
+void RequireCompleteList(store_reader& reader);
 /// Gives up the current read and reads again at once, because the process was paused.
 void RestartRead(store_reader& reader, base::time_point now);
 
--- a/core/instance/instance.cc
+++ b/core/instance/instance.cc
@@ -76,6 +76,10 @@
           forwarding::HandlePublicationRequest(instance.forwarding, ctx, header, body);
         } else if constexpr (std::is_same_v<body_type, peer::publication_update>) {
           forwarding::HandlePublicationUpdate(instance.forwarding, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::evacuation_request>) {
+          forwarding::HandleEvacuationRequest(instance.forwarding, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::evacuation_update>) {
+          forwarding::HandleEvacuationUpdate(instance.forwarding, ctx, body);
         } else if constexpr (std::is_same_v<body_type, peer::relay_request>) {
           forwarding::HandleRelayRequest(instance.forwarding, ctx, header, body);
         } else if constexpr (std::is_same_v<body_type, peer::relay_answer>) {
--- a/core/peer/messages.h
+++ b/core/peer/messages.h
@@ -461,10 +461,32 @@
   }
 };
 
+/// Asks an instance that reads from the platform for the evacuated data centres, because the sender knows an order that
+/// may have been lifted.
+struct evacuation_request {
+  forwarding::store_position position;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(position);
+  }
+};
+
+/// All evacuated data centres as of a position, sent by an instance that reads from the platform.
+struct evacuation_update {
+  forwarding::store_position position;
+  std::vector<forwarding::evacuation_record> evacuations;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(position, evacuations);
+  }
+};
+
 using message_body =
     std::variant<gather_request, gather_answer, gather_cancel, forward_request, forward_answer, configuration_request,
                  configuration_value, table_exchange, probe, probe_ack, indirect_probe, announce, publication_request,
-                 publication_update, relay_request, relay_answer, relay_cancel>;
+                 publication_update, relay_request, relay_answer, relay_cancel, evacuation_request, evacuation_update>;
 
 struct message {
   message_header header;
--- a/shell/metrics.cc
+++ b/shell/metrics.cc
@@ -114,6 +114,11 @@
                         .Help("Configuration revision or version in force; 0 if none.")
                         .Register(registry)
                         .Add({});
+  Gauge& evacuated = prometheus::BuildGauge()
+                         .Name("limpetrouter_evacuated_data_centres")
+                         .Help("Data centres whose backend servers get no requests by the operators' order.")
+                         .Register(registry)
+                         .Add({});
   Gauge& leaving = prometheus::BuildGauge()
                        .Name("limpetrouter_leaving")
                        .Help("1 while the instance shuts down.")
@@ -219,6 +224,7 @@
   } else {
     impl_->revision.Set(configuration == nullptr ? 0 : static_cast<double>(configuration->revision.value));
   }
+  impl_->evacuated.Set(static_cast<double>(instance.forwarding.servers.evacuations.orders.size()));
   impl_->leaving.Set(instance.leaving ? 1 : 0);
 }
 
--- a/tests/core/forwarding/forwarding_world.h
+++ b/tests/core/forwarding/forwarding_world.h
@@ -172,6 +172,10 @@
     HandlePublicationRequest(fixture.tables, ctx, message.header, *request);
   if (const auto* update = std::get_if<peer::publication_update>(&message.body); update != nullptr)
     HandlePublicationUpdate(fixture.tables, ctx, message.header, *update);
+  if (const auto* request = std::get_if<peer::evacuation_request>(&message.body); request != nullptr)
+    HandleEvacuationRequest(fixture.tables, ctx, message.header, *request);
+  if (const auto* update = std::get_if<peer::evacuation_update>(&message.body); update != nullptr)
+    HandleEvacuationUpdate(fixture.tables, ctx, *update);
 }
 
 }  // namespace limpetrouter::core::forwarding
--- a/tests/core/forwarding/store_world.h
+++ b/tests/core/forwarding/store_world.h
@@ -17,6 +17,9 @@
   std::uint64_t revision = 10;
   std::map<std::string, server_record> servers;
   std::map<std::string, std::uint64_t> removals;
+  /// Revisions of the orders to evacuate data centres, and of the removals of such orders.
+  std::map<std::string, std::uint64_t> evacuated;
+  std::map<std::string, std::uint64_t> lifted;
   routing_table_ptr routing;
   std::uint64_t routing_revision = 0;
 
@@ -29,6 +32,14 @@
     servers.erase(id);
     removals[id] = ++revision;
   }
+  void Evacuate(const std::string& data_centre) {
+    lifted.erase(data_centre);
+    evacuated[data_centre] = ++revision;
+  }
+  void EndEvacuation(const std::string& data_centre) {
+    evacuated.erase(data_centre);
+    lifted[data_centre] = ++revision;
+  }
   void Configure(std::uint64_t version) {
     auto table = std::make_shared<routing_table>();
     table->version = version;
@@ -46,6 +57,13 @@
     for (const auto& [id, removed_at] : removals) {
       if (after > 0 && removed_at > after) changes.removed.emplace_back(id, removed_at);
     }
+    for (const auto& [data_centre, ordered_at] : evacuated) {
+      if (ordered_at > after) changes.evacuated.push_back({base::data_centre_id(data_centre), ordered_at});
+    }
+    for (const auto& [data_centre, lifted_at] : lifted) {
+      if (after > 0 && lifted_at > after)
+        changes.evacuations_lifted.emplace_back(base::data_centre_id(data_centre), lifted_at);
+    }
     if (routing_revision > after) changes.routing = routing;
     return changes;
   }
--- a/tests/core/peer/codec_test.cc
+++ b/tests/core/peer/codec_test.cc
@@ -39,6 +39,23 @@
   CHECK(answer.results[0].totals == std::get<gather_answer>(m.body).results[0].totals);
 }
 
+// Guards against orders of operators that are lost, or decoded with another position, on their way to the followers.
+TEST_CASE("the evacuated data centres survive encoding and decoding") {
+  message m;
+  m.body = evacuation_update{{2, 7}, {{base::data_centre_id("a"), 3}, {base::data_centre_id("b"), 7}}};
+  const auto update = DecodeMessage(EncodeMessage(m), kMaxStreamMessageBytes);
+  REQUIRE(update.has_value());
+  const auto& decoded = std::get<evacuation_update>(update->body);
+  CHECK(decoded.position == forwarding::store_position{2, 7});
+  REQUIRE(decoded.evacuations.size() == 2);
+  CHECK(decoded.evacuations[1].data_centre.value == "b");
+  CHECK(decoded.evacuations[1].revision == 7);
+  m.body = evacuation_request{{2, 6}};
+  const auto request = DecodeMessage(EncodeMessage(m), kMaxStreamMessageBytes);
+  REQUIRE(request.has_value());
+  CHECK(std::get<evacuation_request>(request->body).position == forwarding::store_position{2, 6});
+}
+
 // Guards against a truncated message that is accepted as complete.
 TEST_CASE("every truncated message is refused") {
   const auto make = GENERATE(MakeGatherAnswer, MakeAnnounce);
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -84,6 +84,57 @@
   return R"({"service":"a","address":")" + address + R"(","zone":"z","state":"ready","slots":)" + slots + more + "}";
 }
 
+// Guards against orders to evacuate a data centre that are missed because of their value, and against an order and its
+// removal in one answer that are applied in the wrong sequence.
+TEST_CASE("orders to evacuate a data centre are decoded from lists and watches") {
+  struct row {
+    std::string what;
+    std::string items;
+    std::vector<std::string> evacuated;
+    std::vector<std::string> lifted;
+    std::size_t rejected = 0;
+  };
+  const std::string order = Item("op/evacuate/cuyo-a", 4, "e30=");
+  const std::string removal = R"({"key":"op/evacuate/cuyo-a","revision":5,"deleted":true})";
+  const std::string later = Item("op/evacuate/cuyo-a", 6, "e30=");
+  const auto r = GENERATE_COPY(values<row>({
+      {"an order", order, {"cuyo-a"}, {}},
+      {"an empty value", Item("op/evacuate/cuyo-a", 4, ""), {"cuyo-a"}, {}},
+      {"a value that is not base64", Item("op/evacuate/cuyo-a", 4, "!!"), {"cuyo-a"}, {}},
+      {"two data centres", order + "," + Item("op/evacuate/b", 5, ""), {"cuyo-a", "b"}, {}},
+      {"an order and its removal", order + "," + removal, {}, {"cuyo-a"}},
+      {"a removal and a new order", removal + "," + later, {"cuyo-a"}, {}},
+      {"order, removal, order", order + "," + removal + "," + later, {"cuyo-a"}, {}},
+      {"no data centre", Item("op/evacuate/", 4, "e30="), {}, {}, 1},
+      {"an overlong name", Item("op/evacuate/" + std::string(300, 'a'), 4, "e30="), {}, {}, 1},
+      {"a similar key", Item("op/evacuated/a", 4, "e30="), {}, {}},
+  }));
+  INFO(r.what);
+  const bool by_watch = GENERATE(false, true);
+  store_fixture fixture([&r, by_watch](const std::string&) -> shell::scripted_reply {
+    const std::string list =
+        by_watch ? R"({"events":[)" + r.items + "]" : R"({"items":[)" + r.items + R"(],"hasMore":false)";
+    return {HttpAnswer(200, list + R"(,"currentRev":9})")};
+  });
+  if (by_watch) {
+    fixture.client.Watch({1, 2, std::chrono::milliseconds(100)});
+  } else {
+    fixture.client.List({1, true});
+  }
+  const core::io::event event = fixture.AwaitEvent();
+  REQUIRE(std::holds_alternative<core::io::published_read>(event));
+  const auto& changes = std::get<core::io::published_read>(event).changes;
+  std::vector<std::string> evacuated;
+  std::vector<std::string> lifted;
+  for (const auto& record : changes.evacuated)
+    evacuated.push_back(record.data_centre.value);
+  for (const auto& [data_centre, revision] : changes.evacuations_lifted)
+    lifted.push_back(data_centre.value);
+  CHECK(evacuated == r.evacuated);
+  CHECK(lifted == r.lifted);
+  CHECK(changes.rejected.size() == r.rejected);
+}
+
 // Guards against a process that ends, or no longer follows the list, because of an odd entry that another writer has
 // left among those of the backend servers.
 TEST_CASE("an odd entry is rejected, and the entries around it hold") {
