Refuse a status line within the trailer of an answer

A trailer line such as "HTTP/1.1 200 X: 1" was taken for the header of another answer, and the fields that had arrived were dropped. Answers with status 000, 99, 099, 600, 1000 or none were refused before; rows show this for the header, the trailer and a second answer on the connection.

--- a/shell/transfer.cc
+++ b/shell/transfer.cc
@@ -56,6 +56,8 @@
 /// the fields of an interim answer before it, but these still count towards the limit, because interim answers may come
 /// without end.
 std::size_t OnHeader(char* data, std::size_t size, std::size_t count, void* pointer) {
+  /// Position of the status code in a status line.
+  constexpr std::size_t kStatusCode = 9;
   constexpr std::string_view kLineEnd = "\r\n";
   auto& t = *static_cast<transfer*>(pointer);
   const std::size_t bytes = size * count;
@@ -71,10 +73,11 @@
   if (line.empty()) {
     t.header_complete = true;
   } else if (line.starts_with("HTTP/")) {
-    // The header of a final answer follows that of an interim one.
+    // The header of a final answer follows that of an interim one. A status line in a trailer belongs to no answer.
+    t.answer_malformed = (t.header_complete && !t.header_interim) || !IsStatusLine(line);
+    t.header_interim = !t.answer_malformed && line[kStatusCode] == '1';
     t.header_complete = false;
     t.result.headers.clear();
-    t.answer_malformed = !IsStatusLine(line);
   } else {
     t.answer_malformed = !ParseHeaderLine(line, t.result.headers);
   }
--- a/shell/transfer.h
+++ b/shell/transfer.h
@@ -42,6 +42,8 @@
   std::optional<std::uint64_t> received_before;
   /// True once the empty line after the final answer's header has arrived.
   bool header_complete = false;
+  /// The header that arrived last belongs to an interim answer.
+  bool header_interim = false;
   /// The answer is not HTTP or exceeds a limit.
   bool answer_malformed = false;
   bool deadline_passed = false;
--- a/tests/shell/transfer_pool_test.cc
+++ b/tests/shell/transfer_pool_test.cc
@@ -268,6 +268,16 @@
       {"a folded field without a colon", ok + "X-A: a\r\n b\r\n", transfer_outcome::kMalformed},
       {"a control character in a reason", "HTTP/1.1 200 O\x01K\r\n", transfer_outcome::kMalformed},
       {"a status out of range", "HTTP/1.1 700 OK\r\n", transfer_outcome::kMalformed},
+      {"status 000", "HTTP/1.1 000 OK\r\n", transfer_outcome::kMalformed},
+      {"status 000 without a reason", "HTTP/1.1 000\r\n", transfer_outcome::kMalformed},
+      {"status 99", "HTTP/1.1 99 OK\r\n", transfer_outcome::kMalformed},
+      {"status 099", "HTTP/1.1 099 OK\r\n", transfer_outcome::kMalformed},
+      {"status 600", "HTTP/1.1 600 OK\r\n", transfer_outcome::kMalformed},
+      {"status 1000", "HTTP/1.1 1000 OK\r\n", transfer_outcome::kMalformed},
+      {"an empty status", "HTTP/1.1  OK\r\n", transfer_outcome::kMalformed},
+      {"an empty status without a reason", "HTTP/1.1 \r\n", transfer_outcome::kMalformed},
+      {"status 000 after an interim answer", "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 000 OK\r\n",
+       transfer_outcome::kMalformed},
       {"a malformed interim answer", "HTTP/1.1 103 Early\r\nX A: 1\r\n\r\n" + ok, transfer_outcome::kMalformed},
       {"random bytes", ok + "\x8a\x13K: \xfe\r\x01 q\r\n", transfer_outcome::kMalformed},
   }));
@@ -307,6 +317,10 @@
       {"X-A: 1\r\n", transfer_outcome::kAnswered},
       {"X A: 1\r\n", transfer_outcome::kMalformed},
       {"X-A: \x03\r\n", transfer_outcome::kMalformed},
+      {"HTTP/1.1 000 X: 1\r\n", transfer_outcome::kMalformed},
+      {"HTTP/1.1 200 X: 1\r\n", transfer_outcome::kMalformed},
+      // libcurl itself refuses a trailer line without a colon.
+      {"HTTP/1.1 000 OK\r\n", transfer_outcome::kTruncated},
   }));
   INFO(r.trailer);
   scripted_server server([&r](const std::string&) {
@@ -325,5 +339,37 @@
   CHECK(outcome == r.outcome);
 }
 
+// Guards against a second answer with an invalid status on the same connection that is taken for the answer to the next
+// request.
+TEST_CASE("a second answer with an invalid status does not answer the next request") {
+  const std::string status = GENERATE("000", "99", "600", "1000", "");
+  const std::string extra = "HTTP/1.1 " + status + " OK\r\nContent-Length: 5\r\n\r\nextra";
+  INFO(status);
+  std::atomic<bool> first{true};
+  scripted_server server([&](const std::string&) {
+    const std::string answer = HttpAnswer(200, "{}");
+    return scripted_reply{first.exchange(false) ? answer + extra : answer, false, {}};
+  });
+  transfer_pool pool;
+  std::vector<transfer_result> results(2);
+  for (transfer_result& result : results) {
+    std::atomic<bool> ended{false};
+    transfer_request request = OpaqueGet(pool, server.Address(), milliseconds(2'000));
+    request.done = [&](transfer_result&& answer) {
+      result = std::move(answer);
+      ended = true;
+    };
+    pool.Start(std::move(request));
+    REQUIRE(Eventually([&ended] { return ended.load(); }));
+  }
+  CHECK(results[0].outcome == transfer_outcome::kAnswered);
+  CHECK(results[0].body == "{}");
+  for (const transfer_result& result : results) {
+    if (result.outcome != transfer_outcome::kAnswered) continue;
+    CHECK(result.status == 200);
+    CHECK(result.body == "{}");
+  }
+}
+
 }  // namespace
 }  // namespace limpetrouter::shell
