--- a/core/forwarding/answers.cc
+++ b/core/forwarding/answers.cc
@@ -43,6 +43,12 @@
   return IsClientError(kind) ? base::DescribeError(kind).http_status : kUnavailable;
 }
 
+bool IsFinalStatus(int status) {
+  constexpr int kFirstFinal = 200;
+  constexpr int kLast = 599;
+  return status >= kFirstFinal && status <= kLast;
+}
+
 std::string MergeRecords(const std::vector<std::string_view>& parts, std::size_t count, std::size_t record_bytes) {
   std::vector<std::string_view> records;
   for (const std::string_view part : parts) {
--- a/core/forwarding/answers.h
+++ b/core/forwarding/answers.h
@@ -11,6 +11,9 @@
 /// never will be, so they are returned only if `executed` is `kNo`; 502 and 504 promise nothing.
 int StatusOfFailure(base::error_kind kind, base::executed_state executed);
 
+/// True if a final answer may have this status. Interim statuses are none: nothing asks to switch protocols.
+bool IsFinalStatus(int status);
+
 /// Returns the `count` greatest records of all parts in descending order, compared byte by byte. A remainder of a part
 /// that is shorter than `record_bytes` is ignored.
 std::string MergeRecords(const std::vector<std::string_view>& parts, std::size_t count, std::size_t record_bytes);
--- a/core/forwarding/relay.cc
+++ b/core/forwarding/relay.cc
@@ -5,6 +5,8 @@
 #include <string>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "core/forwarding/answers.h"
 #include "core/forwarding/request_calls.h"
 #include "core/forwarding/request_outcome.h"
@@ -213,6 +215,13 @@
     return HandleFailure(tables, ctx, handle, *request, *relayed.answer.failure, relayed.answer.executed,
                          relayed.answer.retry_after);
   }
+  // An instance of a build that accepts any status from its backend servers passes it back.
+  if (!IsFinalStatus(relayed.answer.status)) {
+    return HandleFailure(tables, ctx, handle, *request,
+                         {error_kind::kAnswerMalformed, fmt::format("instance {} passed back an answer with status {}",
+                                                                    header.sender.id.value, relayed.answer.status)},
+                         executed_state::kUnknown, std::nullopt);
+  }
   request->relay.reset();
   FinishRequest(tables, ctx, handle, relayed.answer);
 }
--- a/tests/core/forwarding/relay_test.cc
+++ b/tests/core/forwarding/relay_test.cc
@@ -108,6 +108,28 @@
     CHECK(each.tables.requests.empty());
 }
 
+// Guards against an answer whose status is none: an instance of a build that accepts such answers from its backend
+// servers passes them back.
+TEST_CASE("a relayed answer with an invalid status is not passed to the caller") {
+  const int status = GENERATE(0, 99, 101, 600, 1'000);
+  INFO(status);
+  std::vector<forwarding_fixture> fleet = MakeFleet(2, repeat_policy::kAtMostOnce);
+  CutOff(fleet[0]);
+  fleet[0].Send();
+  Exchange(fleet);
+  const auto calls = TakeAllCalls(fleet);
+  REQUIRE(calls.size() == 1);
+  call_result invalid = forwarding_fixture::Served("aaaa");
+  invalid.status = status;
+  fleet[calls[0].first].End(calls[0].second, std::move(invalid));
+  Exchange(fleet);
+  const auto replies = fleet[0].TakeReplies();
+  REQUIRE(replies.size() == 1);
+  CHECK(replies[0].answer.status == 502);
+  CHECK(replies[0].answer.body.empty());
+  CHECK(replies[0].answer.signatures.empty());
+}
+
 // Guards against a second execution of a request that must not be repeated: after it was passed on, only the word of
 // the other instance that it was not executed permits another one.
 TEST_CASE("a request that must not be repeated is passed on again only if it was not executed") {
