Read the platform's contracts, and gate policies for overload by them

Admission control and learned capacity change decisions under load, so they are in force only where the platform states that callers may press beyond the capacity. The adapter maps the contract's name to the policies. The bounds of cold servers are settings for the same reason.

--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -20,6 +20,14 @@
 
 namespace limpetrouter::core::forwarding {
 
+/// Policies that are in force only where a deployment calls for them.
+struct optional_policies {
+  /// Requests are admitted by their expected wait, and refused at once if they cannot be served in time.
+  bool admission_control = false;
+  /// The number of calls that a server takes, and its speed, are learned from its answers.
+  bool learned_capacity = false;
+};
+
 /// Bounds that the platform sets for the whole system. The defaults are those of the first deployments.
 struct fleet_bounds {
   /// Maximum number of repeated sends to a service, as a share of its requests, in a sliding window over all instances.
@@ -33,6 +41,11 @@
   base::duration server_heartbeat = std::chrono::milliseconds(1'200);
   /// A leaving process is killed after this time.
   base::duration shutdown_grace = std::chrono::seconds(6);
+  /// Requests that a cold server may get within one second from all instances together: this multiple of its rate, and
+  /// a number regardless of the rate.
+  double cold_overage = 1.5;
+  double cold_slack = 5;
+  optional_policies policies;
 };
 
 /// A call to a backend server that has not ended.
--- a/shell/main.cc
+++ b/shell/main.cc
@@ -123,6 +123,14 @@
 #endif
 }
 
+core::forwarding::optional_policies PoliciesOf([[maybe_unused]] const forwarding_settings& forwarding) {
+#if __has_include("platform/adapter.h")
+  return platform::PoliciesOf(forwarding.contracts);
+#else
+  return {};
+#endif
+}
+
 /// Returns the modification time of the file in nanoseconds since the epoch; zero if it cannot be read.
 std::int64_t ModificationTime(const std::string& path) {
   struct stat status {};
@@ -130,7 +138,7 @@
   return std::int64_t{status.st_mtim.tv_sec} * kNanosecondsPerSecond + status.st_mtim.tv_nsec;
 }
 
-int RunDaemon(const std::string& path, const settings& settings) {
+int RunDaemon(const std::string& path, settings settings) {
   const sigset_t signals = BlockSignals();
   RaiseFileLimit();
   const adapter_factory make_adapter = PlatformAdapter();
@@ -138,6 +146,7 @@
     fmt::print(stderr, "limpetrouterd: [forwarding] is set, but this build has no platform adapter\n");
     return kExitSettings;
   }
+  if (settings.forwarding.has_value()) settings.forwarding->bounds.policies = PoliciesOf(*settings.forwarding);
   daemon instance(settings, make_adapter);
   const core::base::result<void> started = instance.Start();
   if (!started.has_value()) {
--- a/shell/settings.cc
+++ b/shell/settings.cc
@@ -35,7 +35,8 @@
       {"peers", {"seeds", "port"}},
       {"forwarding",
        {"entry", "readiness", "directory", "store", "retry_ratio", "retry_window_s", "retry_allowance",
-        "max_address_validity_s", "shutdown_grace_s", "server_heartbeat_ms"}},
+        "max_address_validity_s", "shutdown_grace_s", "server_heartbeat_ms", "cold_overage", "cold_slack",
+        "contracts"}},
       {"limits",
        {"max_request_bytes", "max_peer_queue_bytes", "max_peer_connections", "max_pending_requests", "backend_threads",
         "max_answer_header_bytes", "max_buffered_answer_bytes"}},
@@ -222,12 +223,25 @@
   out = std::chrono::duration_cast<core::base::duration>(std::chrono::duration<double>(seconds));
 }
 
+/// Splits at commas and leaves out empty items.
+std::vector<std::string> SplitList(std::string_view text) {
+  std::vector<std::string> items;
+  while (!text.empty()) {
+    const auto comma = text.find(',');
+    const std::string_view item = Trim(text.substr(0, comma));
+    text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
+    if (!item.empty()) items.emplace_back(item);
+  }
+  return items;
+}
+
 void ReadForwarding(checker& check, settings& out) {
   if (check.ini.GetSectionSize("forwarding") <= 0) return;
   forwarding_settings parsed;
   constexpr double kMaxSeconds = 3'600;
   constexpr std::uint32_t kMaxAllowance = 1'000'000;
   constexpr std::int64_t kMaxHeartbeatMs = 600'000;
+  constexpr double kMaxColdFactor = 1'000;
   ReadAddress(check, "forwarding", "entry", true, parsed.listen_entry);
   ReadAddress(check, "forwarding", "readiness", true, parsed.listen_readiness);
   ReadAddress(check, "forwarding", "directory", true, parsed.listen_directory);
@@ -240,6 +254,9 @@
   std::int64_t heartbeat_ms = core::base::ToMilliseconds(parsed.bounds.server_heartbeat);
   ReadNumber<std::int64_t>(check, "forwarding", "server_heartbeat_ms", 100, kMaxHeartbeatMs, heartbeat_ms);
   parsed.bounds.server_heartbeat = std::chrono::milliseconds(heartbeat_ms);
+  ReadNumber<double>(check, "forwarding", "cold_overage", 1.0, kMaxColdFactor, parsed.bounds.cold_overage);
+  ReadNumber<double>(check, "forwarding", "cold_slack", 0.0, kMaxColdFactor, parsed.bounds.cold_slack);
+  parsed.contracts = SplitList(check.Value("forwarding", "contracts").value_or(""));
   out.forwarding = std::move(parsed);
 }
 
@@ -248,12 +265,7 @@
   const std::string list = check.Value("peers", "seeds").value_or("");
   std::uint16_t peer_port = 0;
   ReadNumber<std::uint16_t>(check, "peers", "port", 1, 65'535, peer_port);
-  std::string_view rest = list;
-  while (!rest.empty()) {
-    const auto comma = rest.find(',');
-    const std::string_view item = Trim(rest.substr(0, comma));
-    rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
-    if (item.empty()) continue;
+  for (const std::string& item : SplitList(list)) {
     std::string ip;
     std::uint16_t port = 0;
     if (!SplitAddress(item, ip, port)) {
--- a/shell/settings.h
+++ b/shell/settings.h
@@ -36,6 +36,8 @@
   /// Address of the platform's store.
   std::string store;
   core::forwarding::fleet_bounds bounds;
+  /// Names of the platform's rules that are in force. The platform adapter decides which policies they call for.
+  std::vector<std::string> contracts;
 };
 
 /// Settings of one daemon, from its INI file. Addresses are "IP:port".
