Keep all instances together to the rate of cold servers

A cold server crashes at a rate well above the one that the configuration states for its service, and until now only cost a little more in the choice.

The instances divide coldPerS with the mechanism of stated rate limits: an instance keeps its interval without bursts if the instances are few enough for the bound of any second, and calls in short turns with a margin otherwise. Shares shrink while a part of the fleet is out of sight and during the first seconds of an instance. Hedges avoid cold servers, and the rate grows over the second after the cold time.

The bytes of publication_update stay the same, and nothing is sent where no service states a rate.

--- a/cli/forwarding.cc
+++ b/cli/forwarding.cc
@@ -40,6 +40,8 @@
     std::string state = "in use";
     if (each.value("limit_age_ms", std::int64_t{-1}) >= 0)
       state = fmt::format("limited to {:.1f} per second", each.value("limit_per_second", 0.0));
+    if (const auto left = each.value("cold_left_ms", std::int64_t{0}); left > 0)
+      state = fmt::format("cold until {} ms from now", left);
     if (each.value("missing_ms", std::int64_t{-1}) >= 0) state = "missing";
     if (each.value("misdirected", false)) state = "replaced";
     if (each.value("draining", false)) state = "draining";
--- a/core/forwarding/forwarding.cc
+++ b/core/forwarding/forwarding.cc
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include "core/forwarding/cold_rules.h"
+#include "core/forwarding/cold_servers.h"
 #include "core/forwarding/directory.h"
 #include "core/forwarding/publication_spread.h"
 #include "core/forwarding/rate_limit.h"
@@ -39,11 +41,16 @@
   }
 }
 
-void ApplyRouting(forwarding_tables& tables, instance::context& ctx, const routing_table_ptr& routing,
-                  std::uint64_t revision) {
+void ApplyRouting(forwarding_tables& tables, instance::context& ctx, const published_changes& changes) {
+  const routing_table_ptr& routing = changes.routing;
   if (routing == nullptr) return;
+  const bool own_read = changes.read != 0;
+  const std::uint64_t revision = changes.position.revision;
   const std::uint64_t current = tables.routing == nullptr ? 0 : tables.routing->version;
-  if (tables.routing != nullptr && routing->version == current) return;
+  if (tables.routing != nullptr && routing->version == current) {
+    if (own_read) NoteConfiguration(tables, ctx, *routing, rules_source::kOwnRead);
+    return;
+  }
   if (tables.routing != nullptr && routing->version < current) {
     instance::LogDecision(ctx, "configuration_ignored",
                           {{"version", std::to_string(routing->version)},
@@ -59,13 +66,16 @@
                          {"revision", std::to_string(revision)},
                          {"routes", std::to_string(routing->routes.size())}});
   ctx.out.emplace_back(io::apply_caller_limits{routing->limits});
+  const rules_source from_peer = current == 0 ? rules_source::kFirstUpdate : rules_source::kUpdate;
+  NoteConfiguration(tables, ctx, *routing, own_read ? rules_source::kOwnRead : from_peer);
 }
 
 void Apply(forwarding_tables& tables, instance::context& ctx, const published_changes& changes) {
   for (const std::string& reason : changes.rejected)
     instance::LogDecision(ctx, "entry_refused", {{"reason", reason}});
-  ApplyRouting(tables, ctx, changes.routing, changes.position.revision);
+  ApplyRouting(tables, ctx, changes);
   LogChanges(ctx, ApplyRecords(tables.servers, changes, ctx.now));
+  UpdateColdServers(tables.servers, ctx);
 }
 
 std::int64_t AgeMs(base::time_point since, base::time_point now) {
@@ -114,6 +124,7 @@
   UpdateEntryCount(tables, ctx);
   UpdateLimitShare(tables, ctx);
   LogChanges(ctx, UpdateDoubtful(tables.servers, EntryLifetime(tables.bounds), ctx.now));
+  RunColdRules(tables, ctx);
   ReportRateLimits(tables.servers, ctx);
 }
 
@@ -146,24 +157,27 @@
   for (const auto& [service, ids] : tables.servers.by_service) {
     for (const base::backend_server_id& id : ids) {
       const server& each = tables.servers.servers.at(id);
-      report.push_back({{"id", id.value},
-                        {"service", service.value},
-                        {"address", each.record.address},
-                        {"data_centre", each.record.data_centre.value},
-                        {"draining", each.record.draining},
-                        {"leaving", each.leaving},
-                        {"revision", each.record.revision},
-                        {"entry_age_ms", AgeMs(each.record_read_at, now)},
-                        {"missing_ms", AgeMs(each.missing_since, now)},
-                        {"misdirected", each.misdirected},
-                        {"ejected_for_ms", std::max<std::int64_t>(0, base::ToMilliseconds(each.ejected_until - now))},
-                        {"pause_left_ms", std::max<std::int64_t>(0, base::ToMilliseconds(each.backs_off_until - now))},
-                        {"running", each.running.size()},
-                        {"slowness", each.slowness},
-                        {"failure_share", each.failure_share},
-                        {"load_age_ms", AgeMs(each.load_at, now)},
-                        {"limit_per_second", each.limit.has_value() ? each.limit->rate.per_second : 0},
-                        {"limit_age_ms", each.limit.has_value() ? AgeMs(each.limit->since, now) : -1}});
+      report.push_back(
+          {{"id", id.value},
+           {"service", service.value},
+           {"address", each.record.address},
+           {"data_centre", each.record.data_centre.value},
+           {"draining", each.record.draining},
+           {"leaving", each.leaving},
+           {"revision", each.record.revision},
+           {"entry_age_ms", AgeMs(each.record_read_at, now)},
+           {"missing_ms", AgeMs(each.missing_since, now)},
+           {"misdirected", each.misdirected},
+           {"ejected_for_ms", std::max<std::int64_t>(0, base::ToMilliseconds(each.ejected_until - now))},
+           {"pause_left_ms", std::max<std::int64_t>(0, base::ToMilliseconds(each.backs_off_until - now))},
+           {"running", each.running.size()},
+           {"slowness", each.slowness},
+           {"failure_share", each.failure_share},
+           {"load_age_ms", AgeMs(each.load_at, now)},
+           {"cold_left_ms", std::max<std::int64_t>(0, base::ToMilliseconds(ColdUntil(tables.servers, each) - now))},
+           {"cold_per_second", ColdRate(tables.servers, each, now)},
+           {"limit_per_second", each.limit.has_value() ? each.limit->rate.per_second : 0},
+           {"limit_age_ms", each.limit.has_value() ? AgeMs(each.limit->since, now) : -1}});
     }
   }
   return report;
--- a/core/forwarding/publication_spread.cc
+++ b/core/forwarding/publication_spread.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/base/digest.h"
+#include "core/forwarding/cold_rules.h"
 
 namespace limpetrouter::core::forwarding {
 namespace {
@@ -121,7 +122,10 @@
 }
 
 /// Sends the follower the changes since the revision that it knows.
-void SendUpdate(forwarding_tables& tables, instance::context& ctx, const base::instance_id& id, follower& target) {
+void SendUpdate(forwarding_tables& tables, instance::context& ctx, const base::instance_id& id, follower& target,
+                bool answers_request) {
+  // The rules arrive ahead of their configuration, so that it never is in force without them.
+  SendColdRules(tables, ctx, id, target, answers_request);
   const published_changes changes = ChangesSince(tables.servers, target.position);
   peer::publication_update update;
   update.since = target.position;
@@ -196,7 +200,7 @@
   spread.sent_position = tables.store.position;
   spread.sent_success = tables.store.last_own_success;
   for (auto& [id, target] : spread.followers) {
-    if (confirmed || target.position < tables.store.position) SendUpdate(tables, ctx, id, target);
+    if (confirmed || target.position < tables.store.position) SendUpdate(tables, ctx, id, target, false);
   }
 }
 
@@ -205,8 +209,12 @@
   // An instance without data sends no answer, so that the follower asks another reader.
   if (!tables.enabled || tables.store.last_success == base::time_point{}) return;
   follower& target = tables.spread.followers[header.sender.id];
-  target = {request.position, request.routing_version, ctx.now + kFollowerTime};
-  SendUpdate(tables, ctx, header.sender.id, target);
+  target.position = request.position;
+  target.routing_version = request.routing_version;
+  target.expires_at = ctx.now + kFollowerTime;
+  // A follower that has restarted, or has lost the configuration, has not received its rules either.
+  if (request.routing_version < target.rules_version) target.rules_version = 0;
+  SendUpdate(tables, ctx, header.sender.id, target, true);
 }
 
 std::optional<published_changes> AcceptPublicationUpdate(forwarding_tables& tables, instance::context& ctx,
--- a/core/forwarding/rate_limit.cc
+++ b/core/forwarding/rate_limit.cc
@@ -3,11 +3,13 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include <fmt/format.h>
 
 #include "core/base/digest.h"
+#include "core/forwarding/cold_servers.h"
 
 namespace limpetrouter::core::forwarding {
 namespace {
@@ -36,21 +38,76 @@
 /// Share of each limit for the instances that callers are not directed to. Some callers still have their addresses.
 constexpr double kOtherInstancesShare = 0.1;
 
-/// Returns the time between two calls of this instance at the steady rate.
-base::duration CallInterval(const rate_limit& limit, double share) {
-  const double per_second = std::max(limit.rate.per_second, kMinPerSecond) * share;
-  return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(1 / per_second));
+/// Bound of the platform on the requests that a cold server gets within one second from all instances together: this
+/// multiple of its rate, and a number regardless of the rate.
+constexpr double kColdOverage = 1.5;
+constexpr double kColdSlack = 5;
+/// Turns for the calls to cold servers. A call may begin only in the first part of its turn, which bounds the calls
+/// that all instances make at once after a quiet period.
+constexpr base::duration kColdTurn = std::chrono::seconds(1);
+constexpr base::duration kColdTurnUse = std::chrono::milliseconds(500);
+/// The usual number of calls in one second is this many times its square root below the bound: the turns of many
+/// instances coincide at random.
+constexpr double kColdMargin = 6;
+
+/// How an instance spreads its calls to a server.
+struct pace {
+  /// Time between two calls of this instance at the steady rate.
+  base::duration interval{};
+  /// Calls may run ahead of the steady rate by this time.
+  base::duration max_burst{};
+  /// True if calls are made in turns of length `turn`, in the first `turn_use` of each, and `turn_share` of the calls
+  /// that are due is made.
+  bool in_turns = false;
+  base::duration turn{};
+  base::duration turn_use{};
+  double turn_share = 1;
+};
+
+base::duration IntervalOf(double calls_per_second) {
+  return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(1 / calls_per_second));
+}
+
+pace StatedPace(const rate_limit& limit, double share) {
+  const base::duration interval = IntervalOf(std::max(limit.rate.per_second, kMinPerSecond) * share);
+  return {interval, kMaxBurst, interval > kTurn, kTurn, kTurn, kTurnShare};
+}
+
+/// Returns the steady rate of all instances together at which the bound of a cold server holds although their turns
+/// coincide at random.
+double SteadyColdRate(double per_second) {
+  const double bound = kColdOverage * per_second + kColdSlack;
+  const double root = (std::sqrt(kColdMargin * kColdMargin + 4 * bound) - kColdMargin) / 2;
+  // After a quiet period, the calls of the turns that are under way add to those of the next ones.
+  constexpr double kAfterQuiet = 1 + std::chrono::duration<double>(kColdTurnUse) / kColdTurn;
+  return std::min(per_second, root * root / kAfterQuiet);
+}
+
+pace ColdPace(const server_table& table, double per_second) {
+  // If each instance keeps its interval, then they make at most one call each within a second more than the rate.
+  const bool few = table.cold_callers <= (kColdOverage - 1) * per_second + kColdSlack;
+  if (few) return {IntervalOf(per_second * table.cold_share), {}, false, {}, {}, 1};
+  const double calls_per_second = SteadyColdRate(per_second) * table.cold_share;
+  return {IntervalOf(calls_per_second), {}, true, kColdTurn, kColdTurnUse, 1};
+}
+
+/// Returns the pace of the calls to a server that is cold, or was cold until recently.
+std::optional<pace> ColdPaceOf(const server_table& table, const server& each, base::time_point now) {
+  const double rate = ColdRate(table, each, now);
+  if (rate <= 0) return std::nullopt;
+  const bool stated = each.limit.has_value();
+  return ColdPace(table, stated ? std::min(rate, std::max(each.limit->rate.per_second, kMinPerSecond)) : rate);
 }
 
 /// Turns of different instances begin at different times.
-base::duration TurnOffset(const server_table& table) {
-  return base::duration(static_cast<base::duration::rep>(table.limit_seed % static_cast<std::uint64_t>(kTurn.count())));
+base::duration TurnOffset(const server_table& table, base::duration turn) {
+  return base::duration(static_cast<base::duration::rep>(table.limit_seed % static_cast<std::uint64_t>(turn.count())));
 }
-std::int64_t TurnAt(const server_table& table, base::time_point now) {
-  return (now.time_since_epoch() + TurnOffset(table)) / kTurn;
+std::int64_t TurnAt(const server_table& table, base::duration turn, base::time_point now) {
+  return (now.time_since_epoch() + TurnOffset(table, turn)) / turn;
 }
-base::time_point TurnBegin(const server_table& table, std::int64_t turn) {
-  return base::time_point(turn * kTurn - TurnOffset(table));
+base::time_point TurnBegin(const server_table& table, base::duration turn, std::int64_t index) {
+  return base::time_point(index * turn - TurnOffset(table, turn));
 }
 
 /// Returns the rank of the server within its service, from 0 to 1. Servers of different ranks get their calls in
@@ -62,24 +119,41 @@
   return static_cast<double>(found - ids.begin()) / static_cast<double>(ids.size());
 }
 
-/// True if this instance makes a call to a server of this rank in the turn, if its share is one call in `interval`.
-bool HasTurn(const server_table& table, double rank, std::int64_t turn, base::duration interval) {
+/// True if this instance makes a call to a server of this rank in the turn.
+bool HasTurn(const server_table& table, double rank, std::int64_t turn, const pace& at) {
   const double phase = std::ldexp(static_cast<double>(table.limit_seed), -64);
   const double position = phase + rank + kGoldenRatio * static_cast<double>(turn);
-  const double calls_per_turn = std::chrono::duration<double>(kTurn) / std::chrono::duration<double>(interval);
-  return position - std::floor(position) < kTurnShare * calls_per_turn;
+  const double calls_per_turn = std::chrono::duration<double>(at.turn) / std::chrono::duration<double>(at.interval);
+  return position - std::floor(position) < at.turn_share * calls_per_turn;
 }
 
 /// Returns the time of the next call if calls are made in turns.
-base::time_point NextTurn(const server_table& table, const server& each, base::duration interval,
+base::time_point NextTurn(const server_table& table, const server& each, const pace& at, base::time_point next_call,
                           base::time_point now) {
-  const base::time_point earliest = std::max(now, each.limit->next_call);
+  const base::time_point earliest = std::max(now, next_call);
   const double rank = RankOf(table, each);
-  std::int64_t turn = TurnAt(table, earliest);
+  std::int64_t turn = TurnAt(table, at.turn, earliest);
+  if (earliest - TurnBegin(table, at.turn, turn) >= at.turn_use) ++turn;
   for (const std::int64_t last = turn + kMaxTurnsAhead; turn < last; ++turn) {
-    if (HasTurn(table, rank, turn, interval)) break;
+    if (HasTurn(table, rank, turn, at)) break;
   }
-  return std::max(earliest, TurnBegin(table, turn));
+  return std::max(earliest, TurnBegin(table, at.turn, turn));
+}
+
+/// Returns the time of the next call at this pace if `next_call` is due at the steady rate.
+base::time_point NextAt(const server_table& table, const server& each, const pace& at, base::time_point next_call,
+                        base::time_point now) {
+  if (at.in_turns) return NextTurn(table, each, at, next_call, now);
+  // A wait that remains from a smaller share is cut.
+  const base::time_point next = std::min(next_call, now + std::max(at.interval, at.max_burst));
+  return std::max(now, next - std::max(at.max_burst - at.interval, base::duration{0}));
+}
+
+/// Returns when the next call is due after one that is made now.
+base::time_point DueAfterCall(const server_table& table, const pace& at, base::time_point next_call,
+                              base::time_point now) {
+  if (at.in_turns) return TurnBegin(table, at.turn, TurnAt(table, at.turn, now) + 1);
+  return std::max(std::min(next_call, now + std::max(at.interval, at.max_burst)), now) + at.interval;
 }
 
 void LogRateLimit(const server& server, instance::context& ctx, const std::string& change, double share) {
@@ -114,7 +188,8 @@
     known = rate_limit{*statement.limit, ctx.now, ctx.now, ctx.now};
     // The running calls have used the burst, or the turn.
     known->next_call = ctx.now + kMaxBurst;
-    if (CallInterval(*known, share) > kTurn) known->next_call = TurnBegin(table, TurnAt(table, ctx.now) + 1);
+    if (StatedPace(*known, share).in_turns)
+      known->next_call = TurnBegin(table, kTurn, TurnAt(table, kTurn, ctx.now) + 1);
     return Report(server, ctx, "stated", share);
   }
   // The answer to a call that was started before the last confirmation may be older than that confirmation, so it
@@ -133,24 +208,25 @@
   if (changed && ctx.now - known->reported_at >= kMinReportInterval) Report(server, ctx, "changed", share);
 }
 
+bool IsRateLimited(const server_table& table, const server& server, base::time_point now) {
+  return server.limit.has_value() || ColdRate(table, server, now) > 0;
+}
+
 base::time_point NextCallTime(const server_table& table, const server& server, base::time_point now) {
-  if (!server.limit.has_value()) return now;
-  const base::duration interval = CallInterval(*server.limit, table.limit_share);
-  if (interval > kTurn) return NextTurn(table, server, interval, now);
-  // A wait that remains from a smaller share is cut.
-  const base::time_point next = std::min(server.limit->next_call, now + std::max(interval, kMaxBurst));
-  return std::max(now, next - std::max(kMaxBurst - interval, base::duration{0}));
+  base::time_point next = now;
+  if (server.limit.has_value())
+    next = NextAt(table, server, StatedPace(*server.limit, table.limit_share), server.limit->next_call, now);
+  if (const std::optional<pace> cold = ColdPaceOf(table, server, now); cold.has_value())
+    next = std::max(next, NextAt(table, server, *cold, server.cold.next_call, now));
+  return next;
 }
 
 void TakeLimitedCall(const server_table& table, server& server, bool repeated, base::time_point now) {
+  if (const std::optional<pace> cold = ColdPaceOf(table, server, now); cold.has_value())
+    server.cold.next_call = DueAfterCall(table, *cold, server.cold.next_call, now);
   if (!server.limit.has_value()) return;
   rate_limit& limit = *server.limit;
-  const base::duration interval = CallInterval(limit, table.limit_share);
-  if (interval > kTurn) {
-    limit.next_call = TurnBegin(table, TurnAt(table, now) + 1);
-  } else {
-    limit.next_call = std::max(std::min(limit.next_call, now + std::max(interval, kMaxBurst)), now) + interval;
-  }
+  limit.next_call = DueAfterCall(table, StatedPace(limit, table.limit_share), limit.next_call, now);
   ++limit.calls;
   if (repeated) ++limit.repeated;
 }
@@ -167,6 +243,7 @@
     share = (others > 0 ? 1 - kOtherInstancesShare : 1) / static_cast<double>(entries);
   }
   tables.servers.limit_seed = base::HashBytes(ctx.members.self.ref.id.value);
+  UpdateColdShare(tables, ctx);
 }
 
 void ReportRateLimits(server_table& table, instance::context& ctx) {
--- a/core/forwarding/rate_limit.h
+++ b/core/forwarding/rate_limit.h
@@ -15,12 +15,18 @@
 /// call the servers of the same rank in all services that have such limits, so that a sharded request finds a server
 /// for each of its shards in the same turn.
 
+/// The rate of a cold server (see cold_servers.h) is divided in the same way. Its bound counts each single second, so
+/// that calls are not made up for, and instances that are too many to have one call in the same second each take
+/// shorter turns with a margin for turns that coincide.
+
 /// Applies what an answer says about the rate limit of its server. `call_started` is when the call of the answer was
 /// started.
 void NoteRateLimit(const server_table& table, server& server, instance::context& ctx,
                    const rate_limit_statement& statement, base::time_point call_started);
+/// True if the server states a rate limit, or has one because it is cold.
+bool IsRateLimited(const server_table& table, const server& server, base::time_point now);
 /// Returns when this instance may make its next call to the server: `now`, or a later time if its share of the server's
-/// limit is used up.
+/// limit is used up. The limit of a cold server is the lower one of its stated limit and the rate of cold servers.
 base::time_point NextCallTime(const server_table& table, const server& server, base::time_point now);
 /// Takes a call from this instance's share of the server's limit. `repeated` is true for a retry.
 void TakeLimitedCall(const server_table& table, server& server, bool repeated, base::time_point now);
--- a/core/forwarding/request_outcome.cc
+++ b/core/forwarding/request_outcome.cc
@@ -58,7 +58,7 @@
     list += (list.empty() ? "" : ",") + part.service.value;
   }
   const std::string detail(request.last_failure == error_kind::kOverloaded
-                               ? "the rate limits that its backend servers state are used up"
+                               ? "the rate limits of its backend servers are used up"
                                : base::DescribeError(request.last_failure).message);
   if (!failed.empty()) return fmt::format("{}: {}", failed, detail);
   return fmt::format("no answer from {}", pending);
--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -157,6 +157,9 @@
   store_position position;
   std::uint64_t routing_version = 0;
   base::time_point expires_at{};
+  /// Configuration whose rules for cold servers were sent last, and the number of answers since it was current.
+  std::uint64_t rules_version = 0;
+  std::uint32_t rules_answers = 0;
 };
 
 enum class spread_role : std::uint8_t { kFollower, kReader, kStandby };
@@ -187,6 +190,12 @@
   fleet_bounds bounds;
   routing_table_ptr routing;
   base::time_point routing_since{};
+  /// Rules for cold servers that arrived ahead of their configuration, with its version.
+  std::uint64_t early_rules_version = 0;
+  std::map<base::service_id, cold_rule> early_rules;
+  /// Set while the configuration in force came from another instance without its rules for cold servers: they are
+  /// taken for absent at this time.
+  std::optional<base::time_point> rules_awaited_until;
   server_table servers;
   store_reader store;
   publication_spread spread;
@@ -211,6 +220,9 @@
   /// number takes effect.
   std::size_t fleet_size = 1;
   base::time_point fleet_size_until{};
+  /// Largest number of instances seen in a longer time, for the shares of the rates of cold servers.
+  std::size_t cold_fleet_size = 1;
+  base::time_point cold_fleet_size_until{};
   base::time_point next_cleanup{};
   bool reported_ready = false;
   /// When the process ends at the latest; set once it leaves the fleet. It is in the past once the process is about to
--- a/core/forwarding/routing_table.h
+++ b/core/forwarding/routing_table.h
@@ -61,7 +61,13 @@
 struct service_rules {
   /// Connections that a backend server accepts from all callers together; 0 if not stated.
   std::uint32_t max_connections = 0;
+  /// Requests per second that a cold server tolerates from all instances together; 0 if not stated.
+  double cold_rate = 0;
+  /// Time for which a server that restarted is cold if its entry does not state one.
+  base::duration warmup{};
 
+  /// Leaves out the rules for cold servers, which travel in a message of their own: builds without these rules read
+  /// this format.
   template <class Archive>
   void serialize(Archive& archive) {
     archive(max_connections);
--- a/core/forwarding/server_choice.cc
+++ b/core/forwarding/server_choice.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/forwarding/cold_servers.h"
 #include "core/forwarding/rate_limit.h"
 
 namespace limpetrouter::core::forwarding {
@@ -123,13 +124,14 @@
   for (const base::backend_server_id& id : ServersOf(table, service)) {
     const server& each = table.servers.at(id);
     if (!IsUsable(each, rules, now)) continue;
-    // After an ejection or a pause, one call at a time shows whether the server works again.
+    // After an ejection or a pause, one call at a time shows whether the server works again. A cold server whose rate
+    // is not known gets no more either.
     const std::size_t limit = each.connection_limit_until > now ? each.connection_limit : rules.max_running;
-    const std::size_t max_calls =
-        each.ejections > 0 || each.resumes ? 1 : std::min<std::size_t>(limit, rules.max_running);
+    const bool one_at_a_time = each.ejections > 0 || each.resumes || IsColdWithoutRules(table, each, now);
+    const std::size_t max_calls = one_at_a_time ? 1 : std::min<std::size_t>(limit, rules.max_running);
     const bool full = each.running.size() >= max_calls || EstimateWork(each, now) >= rules.max_work * each.record.slots;
     const bool busy = rules.is_hedge && (EstimateWork(each, now) >= each.record.slots || OverdueOf(each, now) > 0 ||
-                                         each.limit.has_value());
+                                         IsRateLimited(table, each, now));
     if (full || busy) {
       if (best.state == choice_state::kNone || best.state == choice_state::kLimited) best.state = choice_state::kFull;
       continue;
--- a/core/forwarding/server_table.cc
+++ b/core/forwarding/server_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "core/forwarding/cold_servers.h"
+
 namespace limpetrouter::core::forwarding {
 namespace {
 
@@ -85,6 +87,7 @@
   const auto departed = table.departed.find(record.id);
   if (departed != table.departed.end() && departed->second.incarnation == record.incarnation)
     added.leaving = departed->second.leaving;
+  NoteColdStatement(added, departed != table.departed.end() && record.incarnation > departed->second.incarnation, now);
   table.by_service[record.service].push_back(record.id);
   table.servers.emplace(record.id, std::move(added));
   changes.push_back({record.id, record.draining ? "added draining" : "added", record.revision});
@@ -131,6 +134,8 @@
     RemoveFromService(table, known);
     table.by_service[record.service].push_back(record.id);
   }
+  // An entry that was read again states the cold time as of its first reading.
+  const bool same_statement = record.sequence != 0 && record.sequence == known.record.sequence && !restarted;
   known.record = record;
   known.record_read_at = now;
   known.missing_since = {};
@@ -142,6 +147,7 @@
     known.record_read_at = known.slowness_at = known.failure_at = now;
     known.running = std::move(running);
   }
+  if (!same_statement) NoteColdStatement(known, restarted, now);
   if (restarted || drains) changes.push_back({record.id, restarted ? "restarted" : "draining", record.revision});
 }
 
--- a/core/forwarding/server_table.h
+++ b/core/forwarding/server_table.h
@@ -47,6 +47,26 @@
   std::uint32_t repeated = 0;
 };
 
+/// What the configuration says about the cold servers of a service.
+struct cold_rule {
+  /// Requests per second that a cold server tolerates from all instances together; 0 for no limit.
+  double per_second = 0;
+  /// Time for which a server that restarted is cold if its entry does not state one.
+  base::duration warmup{};
+};
+
+/// Since when and until when a server is cold.
+struct cold_state {
+  /// End of the cold time that the entry states; zero if it has never stated one.
+  base::time_point stated_until{};
+  /// When the server was seen to restart without a stated cold time; zero if it was not.
+  base::time_point restarted_at{};
+  /// When the next call to the cold server is due.
+  base::time_point next_call{};
+  /// True while the server is logged as cold.
+  bool reported = false;
+};
+
 /// A backend server: its entry in the service registry, and what this instance has observed of it.
 struct server {
   server_record record;
@@ -85,6 +105,7 @@
   base::time_point load_at{};
   /// Absent while the server states no limit.
   std::optional<rate_limit> limit;
+  cold_state cold;
   /// Calls that were lost since the server last served one.
   std::vector<lost_call> lost_calls;
   base::time_point probed_at{};
@@ -105,6 +126,10 @@
   base::time_point since{};
 };
 
+/// Share of the rate of a cold server for an instance that has just started and may not know the fleet. Some tens of
+/// instances that start at once add little to the shares of the others.
+inline constexpr double kUnsettledColdShare = 1.0 / 256;
+
 /// Backend servers by id and by service.
 struct server_table {
   std::unordered_map<base::backend_server_id, server> servers;
@@ -129,6 +154,13 @@
   double limit_share = 1;
   /// Differs between instances, so that they use their shares of low limits at different times.
   std::uint64_t limit_seed = 0;
+  /// This instance's share of the rate of a cold server, and the number of instances that have such a share. The
+  /// defaults are those of an instance that does not know the fleet.
+  double cold_share = kUnsettledColdShare;
+  double cold_callers = 1 / kUnsettledColdShare;
+  /// Rules for cold servers. A cold server of a service without a rule has no limit, unless the rules are unknown.
+  std::map<base::service_id, cold_rule> cold_rules;
+  bool cold_rules_unknown = false;
 };
 
 /// One change of the table, for the log.
--- a/core/instance/instance.cc
+++ b/core/instance/instance.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "core/entry/entry.h"
+#include "core/forwarding/cold_rules.h"
 #include "core/forwarding/directory.h"
 #include "core/forwarding/forwarding.h"
 #include "core/forwarding/publication_spread.h"
@@ -76,6 +77,8 @@
           forwarding::HandlePublicationRequest(instance.forwarding, ctx, header, body);
         } else if constexpr (std::is_same_v<body_type, peer::publication_update>) {
           forwarding::HandlePublicationUpdate(instance.forwarding, ctx, header, body);
+        } else if constexpr (std::is_same_v<body_type, peer::service_rules_update>) {
+          forwarding::HandleServiceRules(instance.forwarding, ctx, body);
         } else if constexpr (std::is_same_v<body_type, peer::relay_request>) {
           forwarding::HandleRelayRequest(instance.forwarding, ctx, header, body);
         } else if constexpr (std::is_same_v<body_type, peer::relay_answer>) {
--- a/core/peer/messages.h
+++ b/core/peer/messages.h
@@ -461,10 +461,34 @@
   }
 };
 
+/// What the operators' configuration says about the cold servers of one service.
+struct cold_rule {
+  base::service_id service;
+  double per_second = 0;
+  std::int64_t warmup_us = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(service, per_second, warmup_us);
+  }
+};
+
+/// The rules for cold servers in a version of the operators' configuration. They are not part of
+/// `publication_update`, whose format is that of builds without these rules.
+struct service_rules_update {
+  std::uint64_t version = 0;
+  std::vector<cold_rule> rules;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(version, rules);
+  }
+};
+
 using message_body =
     std::variant<gather_request, gather_answer, gather_cancel, forward_request, forward_answer, configuration_request,
                  configuration_value, table_exchange, probe, probe_ack, indirect_probe, announce, publication_request,
-                 publication_update, relay_request, relay_answer, relay_cancel>;
+                 publication_update, relay_request, relay_answer, relay_cancel, service_rules_update>;
 
 struct message {
   message_header header;
--- a/shell/metrics.cc
+++ b/shell/metrics.cc
@@ -10,6 +10,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include "core/forwarding/cold_servers.h"
 #include "core/membership/member_change.h"
 
 namespace limpetrouter::shell {
@@ -114,6 +115,11 @@
                         .Help("Configuration revision or version in force; 0 if none.")
                         .Register(registry)
                         .Add({});
+  Gauge& cold_servers = prometheus::BuildGauge()
+                            .Name("limpetrouter_cold_servers")
+                            .Help("Backend servers that are cold after a start.")
+                            .Register(registry)
+                            .Add({});
   Gauge& leaving = prometheus::BuildGauge()
                        .Name("limpetrouter_leaving")
                        .Help("1 while the instance shuts down.")
@@ -204,7 +210,7 @@
 
 void metrics::TickDelayed(core::base::duration lag) { impl_->tick_lag.Observe(ToSeconds(lag)); }
 
-void metrics::UpdateInstanceGauges(const core::instance::instance& instance) {
+void metrics::UpdateInstanceGauges(const core::instance::instance& instance, core::base::time_point now) {
   std::map<member_state, std::size_t> counts = {
       {member_state::kAlive, 0}, {member_state::kLeaving, 0}, {member_state::kSuspect, 0}, {member_state::kDead, 0}};
   for (const auto& [id, member] : instance.membership.members.members)
@@ -220,6 +226,9 @@
     impl_->revision.Set(configuration == nullptr ? 0 : static_cast<double>(configuration->revision.value));
   }
   impl_->leaving.Set(instance.leaving ? 1 : 0);
+  const auto& forwarding = instance.forwarding;
+  const std::size_t cold = core::forwarding::CountColdServers(forwarding.servers, now);
+  impl_->cold_servers.Set(static_cast<double>(cold));
 }
 
 std::string metrics::Text() const { return prometheus::TextSerializer().Serialize(impl_->registry.Collect()); }
--- a/tests/core/forwarding/forwarding_world.h
+++ b/tests/core/forwarding/forwarding_world.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/forwarding/cold_rules.h"
 #include "core/forwarding/forwarding.h"
 #include "core/forwarding/publication_spread.h"
 #include "core/forwarding/requests.h"
@@ -172,6 +173,8 @@
     HandlePublicationRequest(fixture.tables, ctx, message.header, *request);
   if (const auto* update = std::get_if<peer::publication_update>(&message.body); update != nullptr)
     HandlePublicationUpdate(fixture.tables, ctx, message.header, *update);
+  if (const auto* rules = std::get_if<peer::service_rules_update>(&message.body); rules != nullptr)
+    HandleServiceRules(fixture.tables, ctx, *rules);
 }
 
 }  // namespace limpetrouter::core::forwarding
--- a/tests/core/forwarding/store_world.h
+++ b/tests/core/forwarding/store_world.h
@@ -29,9 +29,10 @@
     servers.erase(id);
     removals[id] = ++revision;
   }
-  void Configure(std::uint64_t version) {
+  void Configure(std::uint64_t version, std::map<base::service_id, service_rules> services = {}) {
     auto table = std::make_shared<routing_table>();
     table->version = version;
+    table->services = std::move(services);
     routing = table;
     routing_revision = ++revision;
   }
@@ -68,6 +69,10 @@
   bool silent = false;
   /// Instances that do not run.
   std::set<std::size_t> stopped;
+  /// Messages with the rules for cold servers are lost while this is set.
+  bool loses_rules = false;
+  /// Number of messages with these rules that were sent.
+  std::size_t rules_messages = 0;
   std::size_t reads = 0;
   /// Reads that cost a full call. A list that may be stale costs a tenth.
   std::size_t full_reads = 0;
@@ -177,6 +182,9 @@
   void DeliverMessages() {
     for (std::size_t i = 0; i < count; ++i) {
       for (const io::send_peer& send : instances[i]->Take<io::send_peer>()) {
+        const bool has_rules = std::holds_alternative<peer::service_rules_update>(send.message.body);
+        rules_messages += has_rules ? 1 : 0;
+        if (has_rules && loses_rules) continue;
         for (std::size_t j = 0; j < count; ++j) {
           if (send.target == FleetInstanceId(j) && !stopped.contains(j))
             ReceivePublication(*instances[j], send.message);
--- a/tests/platform/configuration_codec_test.cc
+++ b/tests/platform/configuration_codec_test.cc
@@ -59,6 +59,33 @@
   if (r.valid) CHECK(table->routes[1].repeat == repeat_policy::kAtMostOnce);
 }
 
+// Guards against rules for cold servers that are lost or misread, and against a configuration whose rules no server can
+// have.
+TEST_CASE("the rules for cold servers are decimal numbers") {
+  struct row {
+    std::string rules;
+    bool valid;
+    double per_second = 0;
+    std::int64_t warmup_ms = 0;
+  };
+  const auto r = GENERATE(values<row>({{"", true},
+                                       {R"(,"coldPerS":2.5,"warmupS":1.5)", true, 2.5, 1'500},
+                                       {R"(,"coldPerS":40)", true, 40, 0},
+                                       {R"(,"coldPerS":0,"warmupS":8)", true, 0, 8'000},
+                                       {R"(,"coldPerS":-1)", false},
+                                       {R"(,"coldPerS":"2")", false},
+                                       {R"(,"warmupS":-0.5)", false},
+                                       {R"(,"warmupS":1e300)", false},
+                                       {R"(,"coldPerS":null)", false}}));
+  INFO(r.rules);
+  const auto table = DecodeConfiguration(R"({"configVersion":3,"routes":[],"services":[{"name":"a")" + r.rules + "}]}");
+  REQUIRE(table.has_value() == r.valid);
+  if (!r.valid) return;
+  const core::forwarding::service_rules& rules = table->services.at(core::base::service_id("a"));
+  CHECK(rules.cold_rate == r.per_second);
+  CHECK(core::base::ToMilliseconds(rules.warmup) == r.warmup_ms);
+}
+
 // Guards against entries of other writers that are taken for backend servers.
 TEST_CASE("an entry that no backend server can have written is rejected") {
   const std::string valid_entry =
