Take a new cold time of an entry that repeats its sequence number; test the reports

An entry with a known sequence number was taken for the same statement also if it stated another cold time, so that a server that became cold again could have kept its load.

--- a/core/forwarding/server_table.cc
+++ b/core/forwarding/server_table.cc
@@ -135,7 +135,8 @@
     table.by_service[record.service].push_back(record.id);
   }
   // An entry that was read again states the cold time as of its first reading.
-  const bool same_statement = record.sequence != 0 && record.sequence == known.record.sequence && !restarted;
+  const bool same_statement = !restarted && record.sequence != 0 && record.sequence == known.record.sequence &&
+                              record.warmup_left == known.record.warmup_left;
   known.record = record;
   known.record_read_at = now;
   known.missing_since = {};
--- a/tests/core/forwarding/cold_servers_test.cc
+++ b/tests/core/forwarding/cold_servers_test.cc
@@ -211,6 +211,10 @@
     fixture.AddServers({cold_fixture::Server(seconds(3), 1, 1)});
     CHECK(fixture.ColdLeft() == seconds(2));
   }
+  SECTION("another time with the same number prolongs it") {
+    fixture.AddServers({cold_fixture::Server(seconds(4), 1, 1)});
+    CHECK(fixture.ColdLeft() == seconds(4));
+  }
   SECTION("an older entry changes nothing") {
     fixture.AddServers({cold_fixture::Server(seconds(1), 1, 5)});
     fixture.AddServers({cold_fixture::Server(seconds(9), 1, 4)});
@@ -234,6 +238,36 @@
   }
 }
 
+// Guards against operators who cannot tell why a server gets few requests, and against a line for each call.
+TEST_CASE("a cold server is logged when it becomes cold and when it no longer is, and is reported") {
+  cold_fixture fixture;
+  fixture.SetRule(10);
+  const auto changes = [&fixture] {
+    instance::context ctx = fixture.Context();
+    UpdateColdServers(fixture.tables.servers, ctx);
+    std::vector<std::string> found;
+    for (const io::log_decision& line : fixture.Take<io::log_decision>()) {
+      if (line.decision != "cold_server") continue;
+      for (const auto& [name, value] : line.fields) {
+        if (name == "change") found.push_back(value);
+      }
+    }
+    return found;
+  };
+  fixture.AddServers({cold_fixture::Server(seconds(2))});
+  CHECK(changes() == std::vector<std::string>{"began"});
+  CHECK(CountColdServers(fixture.tables.servers, fixture.now) == 1);
+  CHECK(fixture.CallsWithin(seconds(1)) > 1);
+  CHECK(changes().empty());
+  const nlohmann::json report = ReportServers(fixture.tables, fixture.now);
+  CHECK(report.at(0).at("cold_left_ms") == 1'000);
+  CHECK(report.at(0).at("cold_per_second") == 10);
+  fixture.now += seconds(1);
+  CHECK(changes() == std::vector<std::string>{"ended"});
+  CHECK(changes().empty());
+  CHECK(CountColdServers(fixture.tables.servers, fixture.now) == 0);
+}
+
 // Guards against a limit where the configuration states none, and against one that ignores a new configuration, a
 // lower rate that the server states, or missing rules.
 TEST_CASE("the limit of a cold server follows the configuration and the rate that the server states") {
