--- a/core/forwarding/request_outcome.cc
+++ b/core/forwarding/request_outcome.cc
@@ -58,7 +58,7 @@
     list += (list.empty() ? "" : ",") + part.service.value;
   }
   std::string detail(request.last_failure == error_kind::kOverloaded
-                         ? "the rate limits that its backend servers state are used up"
+                         ? "the rate limits of its backend servers are used up"
                          : base::DescribeError(request.last_failure).message);
   const evacuation_table& evacuations = tables.servers.evacuations;
   if (request.last_failure == error_kind::kNoUsableReplica && !evacuations.orders.empty())
