Accept the settings of limits for callers' connections

Cause: the limits that follow need the machine's memory and descriptors, and a daemon refuses settings that it does not know. Change: [limits] memory_mb, max_descriptors, max_connections, max_held_bytes, max_pipelined_requests and drain_timeout_ms are parsed and checked.

--- a/shell/settings.cc
+++ b/shell/settings.cc
@@ -38,7 +38,8 @@
         "max_address_validity_s", "shutdown_grace_s", "server_heartbeat_ms"}},
       {"limits",
        {"max_request_bytes", "max_peer_queue_bytes", "max_peer_connections", "max_pending_requests", "backend_threads",
-        "max_answer_header_bytes", "max_buffered_answer_bytes"}},
+        "max_answer_header_bytes", "max_buffered_answer_bytes", "memory_mb", "max_descriptors", "max_connections",
+        "max_held_bytes", "max_pipelined_requests", "drain_timeout_ms"}},
   };
   return keys;
 }
@@ -265,6 +266,20 @@
   }
 }
 
+void ReadCallerLimits(checker& check, caller_limits& out) {
+  constexpr std::size_t kMaxMemoryMb = 1024 * 1024;
+  constexpr std::uint32_t kMaxDescriptors = 1'000'000;
+  constexpr std::int64_t kMaxDrainMs = 600'000;
+  ReadNumber<std::size_t>(check, "limits", "memory_mb", 0, kMaxMemoryMb, out.memory_mb);
+  ReadNumber<std::uint32_t>(check, "limits", "max_descriptors", 0, kMaxDescriptors, out.max_descriptors);
+  ReadNumber<std::uint32_t>(check, "limits", "max_connections", 0, kMaxDescriptors, out.max_connections);
+  ReadNumber<std::size_t>(check, "limits", "max_held_bytes", 0, std::size_t{1} << 36U, out.max_held_bytes);
+  ReadNumber<std::uint32_t>(check, "limits", "max_pipelined_requests", 1, 10'000, out.max_pipelined_requests);
+  std::int64_t drain_ms = out.drain_timeout.count();
+  ReadNumber<std::int64_t>(check, "limits", "drain_timeout_ms", 100, kMaxDrainMs, drain_ms);
+  out.drain_timeout = std::chrono::milliseconds(drain_ms);
+}
+
 void ReadAll(checker& check, settings& out) {
   ReadForwarding(check, out);
   ReadSeeds(check, out);
@@ -297,6 +312,7 @@
   // The platform's list of backend servers may take several MB.
   ReadNumber<std::size_t>(check, "limits", "max_buffered_answer_bytes", 16 * 1024 * 1024, std::size_t{1} << 30U,
                           out.answers.max_buffered_bytes);
+  ReadCallerLimits(check, out.callers);
 }
 
 /// Reports advertised wildcard addresses: an instance can listen on one, but nobody can connect to it.
--- a/shell/settings.h
+++ b/shell/settings.h
@@ -12,6 +12,7 @@
 #include "core/base/time.h"
 #include "core/forwarding/request_table.h"
 #include "shell/answer_limits.h"
+#include "shell/caller_limits.h"
 
 namespace limpetrouter::shell {
 
@@ -84,6 +85,7 @@
   std::uint32_t max_pending_requests = 50'000;
   /// Limits of the answers that one thread receives from backend servers or the platform.
   answer_limits answers;
+  caller_limits callers;
 };
 
 /// One fault of a settings file.
