--- a/tests/forwarding/fleet.py
+++ b/tests/forwarding/fleet.py
@@ -25,7 +25,7 @@
 port = {peer}
 [limits]
 backend_threads = 1
-[forwarding]
+{limits}[forwarding]
 entry = {ip}:{entry}
 readiness = {ip}:{readiness}
 directory = {ip}:{directory}
@@ -60,10 +60,13 @@
 
 
 class Fleet:
-    def __init__(self, build, directory, deployment, second_octet, use_proxies=False):
-        """`second_octet` is the second octet of all loopback addresses; fleets that run at once need different ones."""
+    def __init__(self, build, directory, deployment, second_octet, use_proxies=False, limits=""):
+        """`second_octet` is the second octet of all loopback addresses; fleets that run at once need different ones.
+
+        `limits` holds further lines of the settings' section [limits].
+        """
         self.build, self.directory, self.deployment, self.second_octet = build, directory, deployment, second_octet
-        self.use_proxies = use_proxies
+        self.use_proxies, self.limits = use_proxies, limits
         self.store = Store(f"127.{second_octet}.200.1:9000")
         self.backend_events = []
         self.backends, self.proxies = {}, {}
@@ -149,7 +152,8 @@
         seeds = ",".join(f"{seed}:{PORTS['control']}" for seed in self.ips[:3])
         store = f"{self.store.host}:{self.store.port}"
         with open(path, "w", encoding="utf-8") as file:
-            file.write(SETTINGS.format(ip=ip, zone=self.zones[ip], seeds=seeds, store=store, **PORTS))
+            file.write(SETTINGS.format(ip=ip, zone=self.zones[ip], seeds=seeds, store=store, limits=self.limits,
+                                       **PORTS))
         with open(os.path.join(self.directory, ip + ".log"), "ab") as log:
             self.processes[ip] = subprocess.Popen([os.path.join(self.build, "limpetrouterd"), "--config", path],
                                                   stdout=log, stderr=log, stdin=subprocess.DEVNULL)
