Bound what is held for callers that do not read

Cause: the server counted only requests without an answer. Pistache reads a socket until it is empty and queues writes without bound, so that pipelined requests grew the memory with every refusal, probe and answer. Change: all listeners share connection_limits. A connection takes at most 32 pipelined requests until their answers are written, may send one largest request beyond them, and must receive each answer in time; otherwise it is closed. Above the bound of all connections, those that hold most are closed and new ones are refused. Requests that are passed on count until the core and the calls have released them. Bounds follow from memory_mb and max_descriptors. Metrics and one log line per second state what was closed.

--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -8,11 +8,14 @@
 #include <random>
 #include <thread>
 #include <type_traits>
+#include <unordered_map>
 #include <utility>
 #include <variant>
 
 #include "core/base/random.h"
 #include "shell/backend_client.h"
+#include "shell/connection_limits.h"
+#include "shell/connection_report.h"
 #include "shell/core_loop.h"
 #include "shell/endpoints.h"
 #include "shell/forwarding_gateway.h"
@@ -108,7 +111,12 @@
   platform_client platform;
   peer_links peers;
   endpoint_ports ports;
+  /// The connections of all callers' listeners.
+  std::shared_ptr<connection_limits> limits;
   http_server http;
+  /// Charges of the requests to `http` that the core has not answered.
+  std::mutex charges_mutex;
+  std::unordered_map<core::base::reply_handle, std::shared_ptr<void>> charges;
   /// It is null if forwarding is not configured.
   std::unique_ptr<forwarding_gateway> gateway;
 
@@ -131,10 +139,11 @@
             [this](std::size_t bytes) { metrics.PlatformBytesReceived(bytes); }),
         peers(s, MakePeerObserver(), log),
         ports(MakeEndpointPorts()),
-        http(s, MakeHttpObserver()) {
+        limits(std::make_shared<connection_limits>(DeriveBounds(s.callers), MakeConnectionReporter(log, metrics))),
+        http(s, MakeHttpObserver(), limits) {
     if (!s.forwarding.has_value()) return;
     gateway = std::make_unique<forwarding_gateway>(
-        s, make_adapter, [this](core::io::event event) { core.Post(std::move(event)); }, metrics);
+        s, make_adapter, [this](core::io::event event) { core.Post(std::move(event)); }, metrics, limits);
   }
 
   peer_observer MakePeerObserver() {
@@ -148,15 +157,30 @@
     return {[this](core::io::event event) { core.Post(std::move(event)); },
             [this](core_loop::task work) { core.PostTask(std::move(work)); },
             [this](core::base::reply_handle handle, http_answer answer) {
+              ReleaseCharge(handle);
               replies.Post([this, handle, answer = std::move(answer)] { http.Answer(handle, answer); });
             },
             &metrics};
   }
 
   http_observer MakeHttpObserver() {
-    return {
-        [this](core::base::reply_handle handle, const http_request& request) { HandleRequest(ports, handle, request); },
-        [this](core::base::reply_handle handle) { core.Post(core::io::query_abandoned{handle}); }};
+    return {[this](core::base::reply_handle handle, const http_request& request) {
+              {
+                const std::lock_guard lock(charges_mutex);
+                charges.emplace(handle, request.charge);
+              }
+              HandleRequest(ports, handle, request);
+            },
+            [this](core::base::reply_handle handle) {
+              core.Post(core::io::query_abandoned{handle});
+              // The core handles the request and its abandonment before this task.
+              core.PostTask([this, handle](const auto&, auto) { ReleaseCharge(handle); });
+            }};
+  }
+
+  void ReleaseCharge(core::base::reply_handle handle) {
+    const std::lock_guard lock(charges_mutex);
+    charges.erase(handle);
   }
 
   void PostBackendEvent(core::io::event event) {
@@ -173,6 +197,7 @@
   }
 
   void Run(core::io::reply_query&& reply) {
+    ReleaseCharge(reply.handle);
     replies.Post([this, reply = std::move(reply)] {
       const int status = reply.answer.succeeded ? 200 : core::base::DescribeError(reply.answer.failure).http_status;
       const auto elapsed = http.Answer(reply.handle, {status, EncodeQueryAnswer(reply.answer), true});
@@ -181,6 +206,7 @@
   }
 
   void Run(core::io::reply_addresses&& reply) {
+    ReleaseCharge(reply.handle);
     replies.Post([this, reply = std::move(reply)] {
       http.Answer(reply.handle, {200, EncodeAddresses(reply.answer), true});
     });
--- a/shell/forwarding_gateway.cc
+++ b/shell/forwarding_gateway.cc
@@ -33,6 +33,12 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
+/// A request together with its charge, which counts it until the core and the calls have released it.
+struct charged_request {
+  core::forwarding::request request;
+  std::shared_ptr<void> charge;
+};
+
 }  // namespace
 
 struct forwarding_gateway::impl {
@@ -44,18 +50,22 @@
 
   std::mutex mutex;
   std::unordered_map<call_id, transfer_id> transfers;
+  /// Charges of the address requests that the core has not answered.
+  std::unordered_map<reply_handle, std::shared_ptr<void>> address_charges;
 
+  std::shared_ptr<connection_limits> limits;
   http_server entry;
   http_server readiness;
   http_server directory;
 
   impl(const settings& settings, const adapter_factory& make_adapter, std::function<void(core::io::event)> post_event,
-       metrics& metrics)
+       metrics& metrics, std::shared_ptr<connection_limits> connection_limits)
       : post(std::move(post_event)),
         request_metrics(metrics),
         pool(settings.answers),
         adapter(make_adapter(settings,
                              {&pool, post, [&metrics](std::size_t bytes) { metrics.PlatformBytesReceived(bytes); }})),
+        limits(std::move(connection_limits)),
         entry(OptionsFor(settings, settings.forwarding->listen_entry),
               {[this](reply_handle handle, http_request request) { HandleRequest(handle, std::move(request)); },
                [this](reply_handle handle) { post(core::io::request_abandoned{handle}); }}),
@@ -66,8 +76,9 @@
                   {[this](reply_handle handle, const http_request& request) { HandleAddressRequest(handle, request); },
                    [](reply_handle) {}}) {}
 
-  static http_server_options OptionsFor(const settings& settings, const std::string& address) {
+  http_server_options OptionsFor(const settings& settings, const std::string& address) const {
     http_server_options options;
+    options.limits = limits;
     options.address = address;
     options.threads = kServerThreads;
     options.max_pending = settings.max_pending_requests;
@@ -78,6 +89,8 @@
   void HandleRequest(reply_handle handle, http_request&& received) {
     // The time that a request waits at the socket counts against the deadline of its caller.
     const core::base::time_point arrived = CoreNow() - received.read_delay;
+    auto charged = std::make_shared<charged_request>();
+    charged->charge = std::move(received.charge);
     core::base::result<core::forwarding::request> decoded = adapter.decode_request(std::move(received));
     if (!decoded.has_value()) {
       core::forwarding::answer refusal;
@@ -88,7 +101,10 @@
       return;
     }
     decoded->received = arrived;
-    post(core::io::request_received{handle, std::make_shared<const core::forwarding::request>(std::move(*decoded))});
+    charged->request = std::move(*decoded);
+    // The pointer refers to the request and owns its charge as well.
+    post(core::io::request_received{handle,
+                                    std::shared_ptr<const core::forwarding::request>(charged, &charged->request)});
   }
 
   void HandleReadinessProbe(reply_handle handle, const http_request& request) {
@@ -99,8 +115,13 @@
 
   void HandleAddressRequest(reply_handle handle, const http_request& request) {
     std::optional<core::base::data_centre_id> caller_data_centre = adapter.decode_address_request(request);
-    if (caller_data_centre.has_value())
+    if (caller_data_centre.has_value()) {
+      {
+        const std::lock_guard lock(mutex);
+        address_charges.emplace(handle, request.charge);
+      }
       return post(core::io::entry_addresses_requested{handle, std::move(*caller_data_centre)});
+    }
     directory.Answer(
         handle, {kNotFound,
                  EncodeError({error_kind::kInvalidRequest, "unknown path: this address serves address requests only"},
@@ -124,8 +145,9 @@
 };
 
 forwarding_gateway::forwarding_gateway(const settings& settings, const adapter_factory& make_adapter,
-                                       std::function<void(core::io::event)> post, metrics& metrics)
-    : impl_(std::make_unique<impl>(settings, make_adapter, std::move(post), metrics)) {}
+                                       std::function<void(core::io::event)> post, metrics& metrics,
+                                       std::shared_ptr<connection_limits> limits)
+    : impl_(std::make_unique<impl>(settings, make_adapter, std::move(post), metrics, std::move(limits))) {}
 
 forwarding_gateway::~forwarding_gateway() { Stop(); }
 
@@ -190,6 +212,10 @@
 }
 
 void forwarding_gateway::Run(const core::io::reply_entry_addresses& command) {
+  {
+    const std::lock_guard lock(impl_->mutex);
+    impl_->address_charges.erase(command.handle);
+  }
   impl_->directory.Answer(command.handle, impl_->adapter.encode_addresses(command));
 }
 
--- a/shell/forwarding_gateway.h
+++ b/shell/forwarding_gateway.h
@@ -6,6 +6,7 @@
 #include "core/base/error_kind.h"
 #include "core/io/command.h"
 #include "core/io/event.h"
+#include "shell/connection_limits.h"
 #include "shell/metrics.h"
 #include "shell/protocol_adapter.h"
 #include "shell/settings.h"
@@ -20,7 +21,8 @@
 class forwarding_gateway {
  public:
   forwarding_gateway(const settings& settings, const adapter_factory& make_adapter,
-                     std::function<void(core::io::event)> post, metrics& metrics);
+                     std::function<void(core::io::event)> post, metrics& metrics,
+                     std::shared_ptr<connection_limits> limits);
   ~forwarding_gateway();
   forwarding_gateway(const forwarding_gateway&) = delete;
   forwarding_gateway& operator=(const forwarding_gateway&) = delete;
--- /dev/null
+++ b/shell/http_connection.cc
@@ -0,0 +1,164 @@
+#include "shell/http_connection.h"
+
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace limpetrouter::shell {
+namespace {
+
+using std::chrono::steady_clock;
+namespace pistache_http = Pistache::Http;
+namespace pistache_tcp = Pistache::Tcp;
+
+/// Buffers of a caller's socket. The kernel doubles these sizes. They suffice for 200 Mbit/s at a round trip of 2 ms.
+constexpr int kReceiveBufferBytes = 64 * 1024;
+constexpr int kSendBufferBytes = 128 * 1024;
+/// While a connection with requests without a written answer holds this much for them, no further one is taken.
+constexpr std::size_t kMaxExchangeBytes = 512 * 1024;
+/// An exchange occupies about this much besides its answer.
+constexpr std::size_t kExchangeOverheadBytes = 512;
+/// Lowest rate in bytes per second at which a caller must receive an answer. The slowest link has 20 Mbit/s.
+constexpr double kMinDrainRate = 64 * 1024;
+
+/// Returns the status line and the header fields.
+std::string EncodeHead(const exchange& completed, bool close) {
+  const http_answer& answer = *completed.answer;
+  const char* const version = completed.version == pistache_http::Version::Http10 ? "HTTP/1.0" : "HTTP/1.1";
+  std::string head = fmt::format("{} {} {}\r\n", version, answer.status,
+                                 pistache_http::codeString(static_cast<pistache_http::Code>(answer.status)));
+  for (const auto& [name, value] : answer.headers)
+    fmt::format_to(std::back_inserter(head), "{}: {}\r\n", name, value);
+  if (FindHeader(answer.headers, "content-type") == nullptr) {
+    head += answer.is_json ? "Content-Type: application/json\r\n" : "Content-Type: text/plain; version=0.0.4\r\n";
+  }
+  fmt::format_to(std::back_inserter(head), "Connection: {}\r\nContent-Length: {}\r\n\r\n",
+                 close ? "close" : "keep-alive", answer.body.size());
+  return head;
+}
+
+/// Returns how long the caller may take for an answer of `bytes`.
+steady_clock::duration DrainTime(const http_connection& c, std::size_t bytes) {
+  const std::chrono::duration<double> transfer(static_cast<double>(bytes) / kMinDrainRate);
+  return c.limits->Bounds().drain_timeout + std::chrono::duration_cast<steady_clock::duration>(transfer);
+}
+
+/// Whether the caller has not received in time what was written to the socket. The caller holds `c.mutex`.
+bool IsSocketStalled(http_connection& c, std::size_t unacknowledged, steady_clock::time_point now) {
+  // Pistache fills the buffer while it has more to write, so that its level says nothing then.
+  const bool decreased = unacknowledged == 0 || unacknowledged < c.unacknowledged_bytes || !c.unwritten.empty();
+  if (decreased) c.unacknowledged_since = now;
+  c.unacknowledged_bytes = unacknowledged;
+  return now - c.unacknowledged_since > DrainTime(c, 0);
+}
+
+std::optional<close_reason> CheckConnection(http_connection& c, steady_clock::time_point now) {
+  const std::lock_guard lock(c.mutex);
+  const std::shared_ptr<pistache_tcp::Peer> peer = c.peer.lock();
+  if (c.closed || c.ended || peer == nullptr) return std::nullopt;
+  int unread = 0;
+  int unacknowledged = 0;
+  if (::ioctl(peer->fd(), SIOCINQ, &unread) != 0 || ::ioctl(peer->fd(), SIOCOUTQ, &unacknowledged) != 0)
+    return std::nullopt;
+  c.socket_bytes = static_cast<std::size_t>(unread) + static_cast<std::size_t>(unacknowledged);
+  UpdateAccount(c);
+  const bool late = !c.unwritten.empty() && now - c.write_started > DrainTime(c, c.unwritten.front());
+  if (IsSocketStalled(c, static_cast<std::size_t>(unacknowledged), now) || late) return close_reason::kNotDrained;
+  return std::nullopt;
+}
+
+}  // namespace
+
+http_connection::http_connection(const std::shared_ptr<pistache_tcp::Peer>& p, std::shared_ptr<connection_limits> l)
+    : peer(p), limits(std::move(l)) {}
+
+http_connection::~http_connection() { limits->Close(account); }
+
+void PrepareConnection(const connection_ptr& c) {
+  const std::weak_ptr<http_connection> weak = c;
+  c->account->end = [weak](close_reason reason) {
+    const connection_ptr locked = weak.lock();
+    return locked != nullptr && EndConnection(*locked, reason);
+  };
+  c->account->check = [weak](steady_clock::time_point now) -> std::optional<close_reason> {
+    const connection_ptr locked = weak.lock();
+    if (locked == nullptr) return std::nullopt;
+    return CheckConnection(*locked, now);
+  };
+  const std::shared_ptr<pistache_tcp::Peer> peer = c->peer.lock();
+  ::setsockopt(peer->fd(), SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof kReceiveBufferBytes);
+  ::setsockopt(peer->fd(), SOL_SOCKET, SO_SNDBUF, &kSendBufferBytes, sizeof kSendBufferBytes);
+}
+
+void StartWrites(http_connection& c, bool close_connections, std::vector<started_write>& writes) {
+  const std::shared_ptr<pistache_tcp::Peer> peer = c.peer.lock();
+  while (peer != nullptr && !c.ended && !c.exchanges.empty() && c.exchanges.front().answer.has_value()) {
+    exchange completed = std::move(c.exchanges.front());
+    c.exchanges.pop_front();
+    c.request_bytes -= completed.request_bytes;
+    c.waiting_answer_bytes -= completed.answer->body.size();
+    // An answer with pipelined requests behind it must not close the connection before their answers are sent.
+    const bool close = completed.close_after || ((completed.answer->close || close_connections) && c.exchanges.empty());
+    std::string text = EncodeHead(completed, close);
+    if (!completed.without_body) text += completed.answer->body;
+    if (close) c.closing = true;
+    const std::size_t size = text.size();
+    if (c.unwritten.empty()) c.write_started = steady_clock::now();
+    c.unwritten.push_back(size);
+    c.unwritten_bytes += size;
+    writes.push_back({peer->send(Pistache::RawBuffer(std::move(text), size), MSG_NOSIGNAL), close});
+  }
+  UpdateAccount(c);
+}
+
+void RemoveWritten(http_connection& c) {
+  c.unwritten_bytes -= c.unwritten.front();
+  c.unwritten.pop_front();
+  c.write_started = steady_clock::now();
+  c.account->last_active = c.write_started;
+  UpdateAccount(c);
+}
+
+bool IsBehind(const http_connection& c) {
+  const std::size_t count = c.exchanges.size() + c.unwritten.size();
+  return count >= c.limits->Bounds().max_pipelined_requests ||
+         (count > 0 && c.request_bytes + c.waiting_answer_bytes + c.unwritten_bytes >= kMaxExchangeBytes);
+}
+
+void UpdateAccount(http_connection& c) {
+  if (c.closed || c.ended) return;
+  c.limits->SetHeld(*c.account, c.received.size() + c.input_bytes + c.waiting_answer_bytes + c.unwritten_bytes +
+                                    c.socket_bytes +
+                                    kExchangeOverheadBytes * (c.exchanges.size() + c.unwritten.size()));
+}
+
+bool EndConnection(http_connection& c, close_reason reason) {
+  const std::lock_guard lock(c.mutex);
+  if (c.closed || c.ended) return false;
+  c.limits->SetHeld(*c.account, 0);
+  c.ended = true;
+  c.received = {};
+  for (exchange& e : c.exchanges)
+    e.answer.reset();
+  c.waiting_answer_bytes = 0;
+  const std::shared_ptr<pistache_tcp::Peer> peer = c.peer.lock();
+  if (peer == nullptr) return true;
+  if (reason != close_reason::kIdle) {
+    // The close discards what the socket still holds; otherwise, the kernel would keep it for a caller that never
+    // reads.
+    const linger discard{1, 0};
+    ::setsockopt(peer->fd(), SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+  }
+  // With both directions shut down, the kernel resets the connection on further input, so that the thread which reads
+  // the socket until it is empty comes to an end.
+  ::shutdown(peer->fd(), SHUT_RDWR);
+  return true;
+}
+
+}  // namespace limpetrouter::shell
--- /dev/null
+++ b/shell/http_connection.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <pistache/http.h>
+#include <pistache/peer.h>
+
+#include "core/base/strong_id.h"
+#include "shell/connection_limits.h"
+#include "shell/http_server.h"
+
+namespace limpetrouter::shell {
+
+/// A request of a connection, together with its answer once there is one.
+struct exchange {
+  core::base::reply_handle handle;
+  std::optional<http_answer> answer;
+  Pistache::Http::Version version = Pistache::Http::Version::Http11;
+  /// Set for HEAD requests, whose answers have no body.
+  bool without_body = false;
+  /// Whether the connection is closed after the answer.
+  bool close_after = false;
+  /// Size of the request.
+  std::size_t request_bytes = 0;
+  std::chrono::steady_clock::time_point received;
+};
+
+/// State of one client connection. `mutex` guards the members below it.
+struct http_connection {
+  std::weak_ptr<Pistache::Tcp::Peer> peer;
+  std::shared_ptr<connection_limits> limits;
+  account_ptr account = std::make_shared<connection_account>();
+
+  /// The next four members are used only by the thread that set `parsing`.
+  /// Received bytes that do not form a complete request yet.
+  std::string input;
+  bool continue_sent = false;
+  /// Whether further input is ignored.
+  bool input_ended = false;
+  /// Bytes that were ignored.
+  std::size_t ignored_bytes = 0;
+
+  std::mutex mutex;
+  /// Bytes that were received and not added to `input` yet.
+  std::string received;
+  /// Size of `input` when it was last parsed.
+  std::size_t input_bytes = 0;
+  /// A thread takes requests from the input. Usually this is the connection's thread, but the callback of a write may
+  /// run on another one.
+  bool parsing = false;
+  /// The thread that takes requests must look at the input again.
+  bool parse_again = false;
+  /// No requests are taken until an answer is written.
+  bool paused = false;
+  /// Exchanges whose answers have not been handed to Pistache, in the order of the requests.
+  std::deque<exchange> exchanges;
+  std::size_t request_bytes = 0;
+  /// Size of the answers that are in `exchanges`.
+  std::size_t waiting_answer_bytes = 0;
+  /// The connection's descriptor is closed.
+  bool closed = false;
+  /// The connection was shut down in both directions because of a limit.
+  bool ended = false;
+  /// An answer with "Connection: close" was handed to Pistache. An opaque server ignores later requests of the
+  /// connection.
+  bool closing = false;
+  /// Sizes of the answers that were handed to Pistache and are not written yet, in their order.
+  std::deque<std::size_t> unwritten;
+  std::size_t unwritten_bytes = 0;
+  /// Time at which the first of them became the first.
+  std::chrono::steady_clock::time_point write_started;
+  /// Bytes in the buffers of the socket, as of the last check.
+  std::size_t socket_bytes = 0;
+  /// Bytes that the caller has not acknowledged, as of the last check, and the time since when they have not decreased.
+  std::size_t unacknowledged_bytes = 0;
+  std::chrono::steady_clock::time_point unacknowledged_since;
+
+  http_connection(const std::shared_ptr<Pistache::Tcp::Peer>& peer, std::shared_ptr<connection_limits> limits);
+  ~http_connection();
+  http_connection(const http_connection&) = delete;
+  http_connection& operator=(const http_connection&) = delete;
+};
+using connection_ptr = std::shared_ptr<http_connection>;
+
+/// Limits the buffers of the socket, and connects the account to the connection.
+void PrepareConnection(const connection_ptr& c);
+
+/// A write that Pistache has started. Its callbacks are attached after all locks are released, because they may run
+/// immediately on the same thread.
+struct started_write {
+  Pistache::Async::Promise<ssize_t> promise;
+  /// Whether the connection is closed after the write.
+  bool close_after = false;
+};
+
+/// Hands Pistache the answers whose preceding requests have all been answered. If `close_connections` is set, the last
+/// one closes the connection. The caller holds `c.mutex`.
+void StartWrites(http_connection& c, bool close_connections, std::vector<started_write>& writes);
+
+/// Removes the first unwritten answer. The caller holds `c.mutex`.
+void RemoveWritten(http_connection& c);
+
+/// Whether the connection has so many requests without a written answer that no further one is taken. The caller holds
+/// `c.mutex`.
+bool IsBehind(const http_connection& c);
+
+/// Updates the connection's account. The caller holds `c.mutex`.
+void UpdateAccount(http_connection& c);
+
+/// Shuts the connection down in both directions, so that its thread closes it. Returns false if that was done before.
+bool EndConnection(http_connection& c, close_reason reason);
+
+}  // namespace limpetrouter::shell
--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -14,6 +14,7 @@
 #include <pistache/endpoint.h>
 #include <pistache/peer.h>
 
+#include "shell/http_connection.h"
 #include "shell/http_framing.h"
 #include "shell/json_codec.h"
 
@@ -28,6 +29,10 @@
 namespace pistache_tcp = Pistache::Tcp;
 
 constexpr const char* kConnectionData = "limpetrouter.connection";
+/// A connection whose requests are not taken may send one largest request and this much more.
+constexpr std::size_t kInputMarginBytes = 64 * 1024;
+/// Capacity of an emptied input buffer that is kept.
+constexpr std::size_t kKeptInputBytes = 16 * 1024;
 /// Pistache's timeouts for the header and the body of a request, which it answers with 408. They also count while the
 /// answer to a complete request is awaited, and 408 promises that the request was not executed. Requests are framed and
 /// limited here, so that they are not needed.
@@ -35,43 +40,10 @@
 constexpr int kBacklog = 1024;
 constexpr int kHeaderFieldsTooLarge = 431;
 
-/// A request of a connection, together with its answer once there is one.
-struct exchange {
-  reply_handle handle;
-  std::optional<http_answer> answer;
-  pistache_http::Version version = pistache_http::Version::Http11;
-  /// Set for HEAD requests, whose answers have no body.
-  bool without_body = false;
-  /// Whether the connection is closed after the answer.
-  bool close_after = false;
-  steady_clock::time_point received;
-};
-
-/// State of one client connection. `mutex` guards the members below it.
-struct connection {
-  std::weak_ptr<pistache_tcp::Peer> peer;
-  /// Received bytes that do not form a complete request yet. Only the connection's thread uses them.
-  std::string input;
-  bool continue_sent = false;
-  /// Whether further input is ignored. Only the connection's thread uses this flag.
-  bool input_ended = false;
-
-  std::mutex mutex;
-  /// Exchanges whose answers have not been handed to Pistache, in the order of the requests.
-  std::deque<exchange> exchanges;
-  bool closed = false;
-  /// An answer with "Connection: close" was handed to Pistache. An opaque server ignores later requests of the
-  /// connection.
-  bool closing = false;
-  /// Number of answers that were handed to Pistache and are not written yet.
-  std::size_t unwritten = 0;
-};
-
-using connection_ptr = std::shared_ptr<connection>;
-
 /// State that the handlers of all threads share.
 struct server_state {
   http_observer observer;
+  std::shared_ptr<connection_limits> limits;
   std::size_t max_request_bytes = 0;
   std::size_t max_pending = 0;
   bool opaque = false;
@@ -97,67 +69,31 @@
   return MakeError(kind, core::base::DescribeError(kind).http_status, detail);
 }
 
-/// A write that Pistache has started. Its callbacks are attached after all locks are released, because they may run
-/// immediately on the same thread.
-struct started_write {
-  Pistache::Async::Promise<ssize_t> promise;
-  /// Whether the connection is closed after the write.
-  bool close_after = false;
-};
+void ConsumeInput(const std::shared_ptr<server_state>& state, const connection_ptr& c);
 
-/// Returns the status line and the header fields.
-std::string EncodeHead(const exchange& completed, bool close) {
-  const http_answer& answer = *completed.answer;
-  const char* const version = completed.version == pistache_http::Version::Http10 ? "HTTP/1.0" : "HTTP/1.1";
-  std::string head = fmt::format("{} {} {}\r\n", version, answer.status,
-                                 pistache_http::codeString(static_cast<pistache_http::Code>(answer.status)));
-  for (const auto& [name, value] : answer.headers)
-    fmt::format_to(std::back_inserter(head), "{}: {}\r\n", name, value);
-  if (FindHeader(answer.headers, "content-type") == nullptr) {
-    head += answer.is_json ? "Content-Type: application/json\r\n" : "Content-Type: text/plain; version=0.0.4\r\n";
-  }
-  fmt::format_to(std::back_inserter(head), "Connection: {}\r\nContent-Length: {}\r\n\r\n",
-                 close ? "close" : "keep-alive", answer.body.size());
-  return head;
-}
-
-/// Hands Pistache the answers whose preceding requests have all been answered. The caller holds `c.mutex`.
-void StartWrites(const server_state& state, connection& c, std::vector<started_write>& writes) {
-  const std::shared_ptr<pistache_tcp::Peer> peer = c.peer.lock();
-  while (peer != nullptr && !c.exchanges.empty() && c.exchanges.front().answer.has_value()) {
-    exchange completed = std::move(c.exchanges.front());
-    c.exchanges.pop_front();
-    // An answer with pipelined requests behind it must not close the connection before their answers are sent.
-    const bool close =
-        completed.close_after || ((completed.answer->close || state.close_connections) && c.exchanges.empty());
-    std::string text = EncodeHead(completed, close);
-    if (!completed.without_body) text += completed.answer->body;
-    if (close) c.closing = true;
-    ++c.unwritten;
-    const std::size_t size = text.size();
-    writes.push_back({peer->send(Pistache::RawBuffer(std::move(text), size)), close});
+void FinishWrite(const std::shared_ptr<server_state>& state, const connection_ptr& c, bool close_after) {
+  {
+    const std::lock_guard lock(c->mutex);
+    if (c->closed) return;
+    RemoveWritten(*c);
+    --state->pending_answers;
+    const std::shared_ptr<pistache_tcp::Peer> peer = c->peer.lock();
+    if (peer == nullptr || c->ended) return;
+    // Only the write side is shut down: closing a socket with unread input would reset the connection before the caller
+    // has read the answer.
+    if (close_after) ::shutdown(peer->fd(), SHUT_WR);
+    if (c->exchanges.empty()) peer->setIdle(true);
+    if (!c->paused) return;
   }
-}
-
-void FinishWrite(server_state& state, const connection_ptr& c, bool close_after) {
-  const std::lock_guard lock(c->mutex);
-  if (c->closed) return;
-  --c->unwritten;
-  --state.pending_answers;
-  const std::shared_ptr<pistache_tcp::Peer> peer = c->peer.lock();
-  if (peer == nullptr) return;
-  // Only the write side is shut down: closing a socket with unread input would reset the connection before the caller
-  // has read the answer.
-  if (close_after) ::shutdown(peer->fd(), SHUT_WR);
-  if (c->exchanges.empty()) peer->setIdle(true);
+  ConsumeInput(state, c);
 }
 
 void AttachCallbacks(const std::shared_ptr<server_state>& state, const connection_ptr& c,
                      std::vector<started_write>& writes) {
   for (started_write& write : writes) {
     const bool close_after = write.close_after;
-    write.promise.then([state, c, close_after](ssize_t) { FinishWrite(*state, c, close_after); },
-                       [state, c](const std::exception_ptr&) { FinishWrite(*state, c, true); });
+    write.promise.then([state, c, close_after](ssize_t) { FinishWrite(state, c, close_after); },
+                       [state, c](const std::exception_ptr&) { FinishWrite(state, c, true); });
   }
 }
 
@@ -177,16 +113,18 @@
   core::base::duration elapsed{};
   {
     const std::lock_guard lock(c->mutex);
-    if (c->closed) return std::nullopt;
+    if (c->closed || c->ended) return std::nullopt;
     for (exchange& e : c->exchanges) {
       if (e.handle != handle) continue;
+      c->waiting_answer_bytes += answer.body.size();
       e.answer = std::move(answer);
       elapsed = std::chrono::duration_cast<core::base::duration>(steady_clock::now() - e.received);
       break;
     }
-    StartWrites(*state, *c, writes);
+    StartWrites(*c, state->close_connections, writes);
   }
   AttachCallbacks(state, c, writes);
+  state->limits->Enforce();
   return elapsed;
 }
 
@@ -219,134 +157,91 @@
   return std::chrono::milliseconds(info.tcpi_last_data_recv <= kResolutionMs ? 0 : info.tcpi_last_data_recv);
 }
 
-/// Replaces the request handling of Pistache's handler, which answers malformed input in plain text by itself, drops
-/// pipelined requests, and lets answers overtake each other.
-class request_handler : public pistache_http::Handler {
+/// Takes requests from the input of one connection and dispatches them. Used by the thread that set `parsing`.
+class request_reader {
  public:
-  HTTP_PROTOTYPE(request_handler)
-
-  explicit request_handler(std::shared_ptr<server_state> state) : state_(std::move(state)) {}
-
-  void onRequest(const pistache_http::Request& /*request*/, pistache_http::ResponseWriter /*response*/) override {}
-
-  void onInput(const char* buffer, std::size_t size, const std::shared_ptr<pistache_tcp::Peer>& peer) override {
-    const connection_ptr c = ConnectionOf(peer);
-    if (c->input_ended) return;
-    c->input.append(buffer, size);
-    while (!c->input_ended && ConsumeRequest(c, peer)) {
-    }
-  }
-
-  /// Pistache calls this function before it closes the file descriptor. Answers in Pistache's write queue are flushed
-  /// here: the queue identifies a connection only by its file descriptor, which the next connection may reuse.
-  void onDisconnection(const std::shared_ptr<pistache_tcp::Peer>& peer) override {
-    const connection_ptr c = ConnectionOf(peer);
-    std::deque<exchange> unanswered;
-    {
-      const std::lock_guard lock(c->mutex);
-      c->closed = true;
-      unanswered.swap(c->exchanges);
-      state_->pending_answers -= unanswered.size() + std::exchange(c->unwritten, 0);
-    }
-    transport()->flush();
-    for (const exchange& e : unanswered) {
-      {
-        const std::lock_guard lock(state_->mutex);
-        if (state_->unanswered.erase(e.handle) == 0) continue;
-      }
-      state_->observer.on_abandoned(e.handle);
-    }
-  }
-
- private:
-  static connection_ptr ConnectionOf(const std::shared_ptr<pistache_tcp::Peer>& peer) {
-    if (auto data = peer->tryGetData(kConnectionData); data != nullptr)
-      return std::static_pointer_cast<connection>(data);
-    auto created = std::make_shared<connection>();
-    created->peer = peer;
-    peer->putData(kConnectionData, created);
-    return created;
-  }
+  request_reader(std::shared_ptr<server_state> state, connection_ptr c, std::shared_ptr<pistache_tcp::Peer> peer)
+      : state_(std::move(state)), c_(std::move(c)), peer_(std::move(peer)) {}
 
   /// Removes one request from the input and dispatches it. Returns false if the input holds no complete request or
   /// an unacceptable one.
-  bool ConsumeRequest(const connection_ptr& c, const std::shared_ptr<pistache_tcp::Peer>& peer) {
-    if (state_->opaque) return ConsumeOpaqueRequest(c, peer);
-    const request_frame frame = FrameRequest(c->input, state_->max_request_bytes);
+  bool ConsumeRequest() {
+    if (state_->opaque) return ConsumeOpaqueRequest();
+    const request_frame frame = FrameRequest(c_->input, state_->max_request_bytes);
     switch (frame.state) {
       case request_state::kIncomplete:
-        if (frame.expects_continue) SendContinue(*c, *peer);
+        if (frame.expects_continue) SendContinue();
         return false;
       case request_state::kTooLarge:
-        Refuse(c, MakeError(error_kind::kRequestTooLarge, frame.detail));
+        Refuse(MakeError(error_kind::kRequestTooLarge, frame.detail));
         return false;
       case request_state::kMalformed:
-        Refuse(c, MakeError(error_kind::kInvalidRequest, frame.detail));
+        Refuse(MakeError(error_kind::kInvalidRequest, frame.detail));
         return false;
       case request_state::kComplete:
         break;
     }
-    ParseRequestText(c, peer, std::string_view(c->input).substr(0, frame.size));
-    c->input.erase(0, frame.size);
-    c->continue_sent = false;
+    ParseRequestText(std::string_view(c_->input).substr(0, frame.size));
+    c_->input.erase(0, frame.size);
+    c_->continue_sent = false;
     return true;
   }
 
   /// Like `ConsumeRequest`, but for opaque servers: the target and the header fields are not decoded.
-  bool ConsumeOpaqueRequest(const connection_ptr& c, const std::shared_ptr<pistache_tcp::Peer>& peer) {
-    if (c->input.empty() || IsClosing(*c)) return false;
-    parsed_request parsed = ParseRequest(c->input, {state_->max_header_bytes, state_->max_body_bytes});
+  bool ConsumeOpaqueRequest() {
+    if (c_->input.empty() || IsClosing()) return false;
+    parsed_request parsed = ParseRequest(c_->input, {state_->max_header_bytes, state_->max_body_bytes});
     switch (parsed.state) {
       case parse_state::kIncomplete:
-        if (parsed.expects_continue) SendContinue(*c, *peer);
+        if (parsed.expects_continue) SendContinue();
         return false;
       case parse_state::kHeaderTooLarge:
-        Refuse(c, MakeError(error_kind::kRequestTooLarge, kHeaderFieldsTooLarge, parsed.detail));
+        Refuse(MakeError(error_kind::kRequestTooLarge, kHeaderFieldsTooLarge, parsed.detail));
         return false;
       case parse_state::kBodyTooLarge:
-        Refuse(c, MakeError(error_kind::kRequestTooLarge, parsed.detail));
+        Refuse(MakeError(error_kind::kRequestTooLarge, parsed.detail));
         return false;
       case parse_state::kMalformed:
-        Refuse(c, MakeError(error_kind::kInvalidRequest, parsed.detail));
+        Refuse(MakeError(error_kind::kInvalidRequest, parsed.detail));
         return false;
       case parse_state::kComplete:
         break;
     }
-    c->input.erase(0, parsed.size);
-    c->continue_sent = false;
+    c_->input.erase(0, parsed.size);
+    c_->continue_sent = false;
     // Pistache measures the idle time from the last reset of its parser, which an opaque server does not use otherwise.
-    getParser(peer)->reset();
-    peer->setIdle(false);
+    pistache_http::Handler::getParser(peer_)->reset();
+    peer_->setIdle(false);
     const auto version = pistache_http::Version::Http11;
-    const reply_handle handle = AddExchange(c, version, parsed.close, parsed.method == "HEAD");
-    c->input_ended = parsed.close;
+    const reply_handle handle = AddExchange(version, parsed.close, parsed.method == "HEAD", parsed.size);
+    c_->input_ended = parsed.close;
+    const std::size_t size = parsed.size;
     http_request request;
     request.method = std::move(parsed.method);
     request.path = parsed.target.substr(0, parsed.target.find('?'));
     request.target = std::move(parsed.target);
     request.headers = std::move(parsed.headers);
     request.body = std::move(parsed.body);
-    request.read_delay = TimeSinceLastReceive(peer->fd());
-    Dispatch(handle, std::move(request));
+    request.read_delay = TimeSinceLastReceive(peer_->fd());
+    Dispatch(handle, std::move(request), size);
     return true;
   }
 
   /// Whether an answer with "Connection: close" was handed to Pistache.
-  static bool IsClosing(connection& c) {
-    const std::lock_guard lock(c.mutex);
-    return c.closing;
+  bool IsClosing() const {
+    const std::lock_guard lock(c_->mutex);
+    return c_->closing;
   }
 
-  static void SendContinue(connection& c, pistache_tcp::Peer& peer) {
-    if (std::exchange(c.continue_sent, true)) return;
+  void SendContinue() {
+    if (std::exchange(c_->continue_sent, true)) return;
     const std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
-    peer.send(Pistache::RawBuffer(line, line.size()));
+    peer_->send(Pistache::RawBuffer(line, line.size()), MSG_NOSIGNAL);
   }
 
   /// Parses the complete request `text` with Pistache's parser and dispatches or refuses it.
-  void ParseRequestText(const connection_ptr& c, const std::shared_ptr<pistache_tcp::Peer>& peer,
-                        std::string_view text) {
-    const auto parser = getParser(peer);
+  void ParseRequestText(std::string_view text) {
+    const auto parser = pistache_http::Handler::getParser(peer_);
     parser->reset();
     std::string error;
     try {
@@ -356,22 +251,22 @@
     } catch (const std::exception& e) {
       error = fmt::format("the HTTP request is malformed: {}", e.what());
     }
-    if (!error.empty()) return Refuse(c, MakeError(error_kind::kInvalidRequest, error));
-    peer->setIdle(false);
-    DispatchParsedRequest(c, parser->request);
+    if (!error.empty()) return Refuse(MakeError(error_kind::kInvalidRequest, error));
+    peer_->setIdle(false);
+    DispatchParsedRequest(parser->request, text.size());
     parser->reset();
   }
 
-  void DispatchParsedRequest(const connection_ptr& c, const pistache_http::Request& request) {
+  void DispatchParsedRequest(const pistache_http::Request& request, std::size_t size) {
     const bool close_after = RequestsClose(request);
-    c->input_ended = close_after;
+    c_->input_ended = close_after;
     const reply_handle handle =
-        AddExchange(c, request.version(), close_after, request.method() == pistache_http::Method::Head);
-    Dispatch(handle, ConvertRequest(request));
+        AddExchange(request.version(), close_after, request.method() == pistache_http::Method::Head, size);
+    Dispatch(handle, ConvertRequest(request), size);
   }
 
   /// Passes the request to the observer. Refuses it if `RefuseWith` was called or too many requests are pending.
-  void Dispatch(reply_handle handle, http_request request) {
+  void Dispatch(reply_handle handle, http_request request, std::size_t size) {
     std::optional<http_answer> refusal;
     {
       const std::lock_guard lock(state_->mutex);
@@ -381,6 +276,14 @@
                             fmt::format("the limit of {} pending requests is reached", state_->max_pending));
       }
     }
+    if (!refusal.has_value()) {
+      request.charge = state_->limits->ChargeRequest(size);
+      if (request.charge == nullptr) {
+        refusal =
+            MakeError(error_kind::kOverloaded, fmt::format("the limit of {} bytes of requests in progress is reached",
+                                                           state_->limits->Bounds().max_request_bytes));
+      }
+    }
     if (refusal.has_value()) {
       SubmitAnswer(state_, handle, std::move(*refusal));
     } else {
@@ -389,24 +292,147 @@
   }
 
   /// Appends an exchange without an answer to the connection.
-  reply_handle AddExchange(const connection_ptr& c, pistache_http::Version version, bool close_after,
-                           bool without_body) {
+  reply_handle AddExchange(pistache_http::Version version, bool close_after, bool without_body, std::size_t size) {
     reply_handle handle;
     {
       const std::lock_guard lock(state_->mutex);
       handle = reply_handle(state_->next_handle++);
-      state_->unanswered.emplace(handle, c);
+      state_->unanswered.emplace(handle, c_);
+    }
+    const std::lock_guard lock(c_->mutex);
+    if (c_->closed) {
+      // Nobody abandons a request that is added after the connection was closed.
+      const std::lock_guard state_lock(state_->mutex);
+      state_->unanswered.erase(handle);
+      return handle;
     }
     ++state_->pending_answers;
-    const std::lock_guard lock(c->mutex);
-    c->exchanges.push_back({handle, std::nullopt, version, without_body, close_after, steady_clock::now()});
+    c_->exchanges.push_back({handle, std::nullopt, version, without_body, close_after, size, steady_clock::now()});
+    c_->request_bytes += size;
     return handle;
   }
 
   /// Answers malformed or oversized input and closes the connection, because the start of the next request is unknown.
-  void Refuse(const connection_ptr& c, http_answer answer) {
-    c->input_ended = true;
-    SubmitAnswer(state_, AddExchange(c, pistache_http::Version::Http11, true, false), std::move(answer));
+  void Refuse(http_answer answer) {
+    c_->input_ended = true;
+    SubmitAnswer(state_, AddExchange(pistache_http::Version::Http11, true, false, 0), std::move(answer));
+  }
+
+  std::shared_ptr<server_state> state_;
+  connection_ptr c_;
+  std::shared_ptr<pistache_tcp::Peer> peer_;
+};
+
+/// Returns whether another request may be taken. If not because of earlier requests, the connection is paused.
+bool MayTakeRequest(http_connection& c) {
+  const std::lock_guard lock(c.mutex);
+  if (c.closed || c.ended) return false;
+  c.paused = IsBehind(c);
+  return !c.paused;
+}
+
+/// Drops input that is ignored. Returns whether the connection must be closed because of the input that is left. The
+/// caller holds `c.mutex` and has set `parsing`.
+bool ExceedsInputBound(const server_state& state, http_connection& c) {
+  const std::size_t largest_request =
+      state.opaque ? state.max_header_bytes + state.max_body_bytes : state.max_request_bytes;
+  if (c.input_ended || c.closing) {
+    c.ignored_bytes += c.input.size();
+    c.input.clear();
+  }
+  if (c.input.empty() && c.input.capacity() > kKeptInputBytes) c.input.shrink_to_fit();
+  c.input_bytes = c.input.size();
+  UpdateAccount(c);
+  // The parser limits the input while requests are taken.
+  const std::size_t unused = c.ignored_bytes + (c.paused ? c.input_bytes + c.received.size() : 0);
+  return unused > largest_request + kInputMarginBytes;
+}
+
+/// Takes all requests that the connection may have in progress from its input. Does nothing if another thread is doing
+/// so, which then looks at the input again.
+void ConsumeInput(const std::shared_ptr<server_state>& state, const connection_ptr& c) {
+  const std::shared_ptr<pistache_tcp::Peer> peer = c->peer.lock();
+  if (peer == nullptr) return;
+  request_reader reader(state, c, peer);
+  std::unique_lock lock(c->mutex);
+  c->parse_again = true;
+  if (std::exchange(c->parsing, true)) return;
+  bool exceeded = false;
+  while (std::exchange(c->parse_again, false) && !c->closed && !c->ended) {
+    c->input += c->received;
+    c->received.clear();
+    lock.unlock();
+    while (!c->input_ended && MayTakeRequest(*c) && reader.ConsumeRequest()) {
+    }
+    lock.lock();
+    exceeded = ExceedsInputBound(*state, *c);
+  }
+  c->parsing = false;
+  lock.unlock();
+  if (exceeded && EndConnection(*c, close_reason::kInput)) state->limits->CountClosed(close_reason::kInput);
+}
+
+/// Replaces the request handling of Pistache's handler, which answers malformed input in plain text by itself, drops
+/// pipelined requests, and lets answers overtake each other.
+class request_handler : public pistache_http::Handler {
+ public:
+  HTTP_PROTOTYPE(request_handler)
+
+  explicit request_handler(std::shared_ptr<server_state> state) : state_(std::move(state)) {}
+
+  void onRequest(const pistache_http::Request& /*request*/, pistache_http::ResponseWriter /*response*/) override {}
+
+  void onInput(const char* buffer, std::size_t size, const std::shared_ptr<pistache_tcp::Peer>& peer) override {
+    const connection_ptr c = ConnectionOf(peer);
+    {
+      const std::lock_guard lock(c->mutex);
+      if (c->closed || c->ended) return;
+      c->received.append(buffer, size);
+      c->account->last_active = steady_clock::now();
+      UpdateAccount(*c);
+    }
+    ConsumeInput(state_, c);
+    state_->limits->Enforce();
+  }
+
+  void onConnection(const std::shared_ptr<pistache_tcp::Peer>& peer) override {
+    // Pistache's own handler does the same; its function is private.
+    peer->putData(ParserData, std::make_shared<pistache_http::RequestParser>(getMaxRequestSize()));
+    const connection_ptr c = ConnectionOf(peer);
+    if (!state_->limits->Open(c->account)) EndConnection(*c, close_reason::kRefused);
+  }
+
+  /// Pistache calls this function before it closes the file descriptor. Answers in Pistache's write queue are flushed
+  /// here: the queue identifies a connection only by its file descriptor, which the next connection may reuse.
+  void onDisconnection(const std::shared_ptr<pistache_tcp::Peer>& peer) override {
+    const connection_ptr c = ConnectionOf(peer);
+    std::deque<exchange> unanswered;
+    {
+      const std::lock_guard lock(c->mutex);
+      c->closed = true;
+      unanswered.swap(c->exchanges);
+      state_->pending_answers -= unanswered.size() + c->unwritten.size();
+      c->unwritten.clear();
+    }
+    state_->limits->Close(c->account);
+    transport()->flush();
+    for (const exchange& e : unanswered) {
+      {
+        const std::lock_guard lock(state_->mutex);
+        if (state_->unanswered.erase(e.handle) == 0) continue;
+      }
+      state_->observer.on_abandoned(e.handle);
+    }
+  }
+
+ private:
+  connection_ptr ConnectionOf(const std::shared_ptr<pistache_tcp::Peer>& peer) const {
+    if (auto data = peer->tryGetData(kConnectionData); data != nullptr)
+      return std::static_pointer_cast<http_connection>(data);
+    auto created = std::make_shared<http_connection>(peer, state_->limits);
+    PrepareConnection(created);
+    peer->putData(kConnectionData, created);
+    return created;
   }
 
   std::shared_ptr<server_state> state_;
@@ -424,8 +450,9 @@
 
 namespace {
 
-http_server_options OptionsFor(const settings& settings) {
+http_server_options OptionsFor(const settings& settings, std::shared_ptr<connection_limits> limits) {
   http_server_options options;
+  options.limits = std::move(limits);
   options.address = settings.listen_http;
   options.threads = settings.threads;
   options.max_request_bytes = settings.max_request_bytes;
@@ -435,8 +462,8 @@
 
 }  // namespace
 
-http_server::http_server(const settings& settings, http_observer observer)
-    : http_server(OptionsFor(settings), std::move(observer)) {}
+http_server::http_server(const settings& settings, http_observer observer, std::shared_ptr<connection_limits> limits)
+    : http_server(OptionsFor(settings, std::move(limits)), std::move(observer)) {}
 
 http_server::http_server(const http_server_options& options, http_observer observer) : impl_(std::make_unique<impl>()) {
   impl_->address = options.address;
@@ -446,6 +473,8 @@
   impl_->state->max_request_bytes = options.max_request_bytes;
   impl_->state->max_pending = options.max_pending;
   impl_->state->opaque = options.opaque;
+  impl_->state->limits =
+      options.limits != nullptr ? options.limits : std::make_shared<connection_limits>(DeriveBounds({}));
 }
 
 http_server::~http_server() { Stop(); }
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -11,6 +11,7 @@
 #include "core/base/error_kind.h"
 #include "core/base/strong_id.h"
 #include "core/base/time.h"
+#include "shell/connection_limits.h"
 #include "shell/http_request_parser.h"
 #include "shell/settings.h"
 
@@ -29,6 +30,8 @@
   /// Time between the arrival of the last bytes of the request at the socket and their read. Only opaque servers set
   /// it.
   std::chrono::milliseconds read_delay{};
+  /// Counts the request towards the limit of requests in progress until it is destroyed.
+  std::shared_ptr<void> charge;
 };
 
 /// Status, header fields and body of an answer.
@@ -56,6 +59,8 @@
   std::chrono::milliseconds idle_timeout = std::chrono::seconds(300);
   /// An opaque server passes requests on with an undecoded target and all header fields, and accepts chunked bodies.
   bool opaque = false;
+  /// Limits of the connections of all listeners; null for limits of its own with the default bounds.
+  std::shared_ptr<connection_limits> limits;
 };
 
 /// Callbacks of the server. They run on its threads.
@@ -71,7 +76,8 @@
 /// Thread-safe.
 class http_server {
  public:
-  http_server(const settings& settings, http_observer observer);
+  /// `limits` as in the options.
+  http_server(const settings& settings, http_observer observer, std::shared_ptr<connection_limits> limits = nullptr);
   http_server(const http_server_options& options, http_observer observer);
   ~http_server();
   http_server(const http_server&) = delete;
--- a/shell/metrics.cc
+++ b/shell/metrics.cc
@@ -120,6 +120,26 @@
                        .Register(registry)
                        .Add({});
 
+  Gauge& open_connections = prometheus::BuildGauge()
+                                .Name("limpetrouter_caller_connections")
+                                .Help("Open connections of callers.")
+                                .Register(registry)
+                                .Add({});
+  Gauge& held_bytes = prometheus::BuildGauge()
+                          .Name("limpetrouter_caller_held_bytes")
+                          .Help("Bytes held for callers' connections, their socket buffers included.")
+                          .Register(registry)
+                          .Add({});
+  Gauge& request_bytes = prometheus::BuildGauge()
+                             .Name("limpetrouter_request_bytes")
+                             .Help("Bytes charged for requests in progress.")
+                             .Register(registry)
+                             .Add({});
+  prometheus::Family<Counter>& closed_connections = prometheus::BuildCounter()
+                                                        .Name("limpetrouter_caller_connections_closed_total")
+                                                        .Help("Connections of callers that limits closed, by reason.")
+                                                        .Register(registry);
+
   /// The counters of `peer_bytes` by direction and plane. They are looked up once, because messages are frequent.
   std::array<std::array<Counter*, 2>, 2> bytes_by_plane{};
 
@@ -202,6 +222,17 @@
 
 void metrics::PlatformBytesReceived(std::size_t bytes) { impl_->platform_bytes.Increment(static_cast<double>(bytes)); }
 
+void metrics::UpdateConnections(const connection_totals& totals) {
+  impl_->open_connections.Set(static_cast<double>(totals.open));
+  impl_->held_bytes.Set(static_cast<double>(totals.held_bytes));
+  impl_->request_bytes.Set(static_cast<double>(totals.request_bytes));
+  for (std::size_t i = 0; i < kCloseReasons; ++i) {
+    Counter& counter =
+        Labelled(impl_->closed_connections, "reason", std::string(ToString(static_cast<close_reason>(i))));
+    counter.Increment(static_cast<double>(totals.closed[i]) - counter.Value());
+  }
+}
+
 void metrics::TickDelayed(core::base::duration lag) { impl_->tick_lag.Observe(ToSeconds(lag)); }
 
 void metrics::UpdateInstanceGauges(const core::instance::instance& instance) {
--- a/shell/metrics.h
+++ b/shell/metrics.h
@@ -9,6 +9,7 @@
 #include "core/forwarding/messages.h"
 #include "core/instance/instance.h"
 #include "core/peer/messages.h"
+#include "shell/connection_limits.h"
 #include "shell/peer_links.h"
 
 namespace limpetrouter::shell {
@@ -34,6 +35,8 @@
   void PeerBytesReceived(message_plane plane, std::size_t bytes);
   void PeerMessageMalformed();
   void PlatformBytesReceived(std::size_t bytes);
+  /// Sets the metrics of callers' connections.
+  void UpdateConnections(const connection_totals& totals);
   void TickDelayed(core::base::duration lag);
   /// Sets the gauges of members, configuration revision and shutdown. Called on the core thread.
   void UpdateInstanceGauges(const core::instance::instance& instance);
--- a/shell/settings.cc
+++ b/shell/settings.cc
@@ -267,11 +267,16 @@
 }
 
 void ReadCallerLimits(checker& check, caller_limits& out) {
-  constexpr std::size_t kMaxMemoryMb = 1024 * 1024;
+  constexpr double kMaxMemoryMb = 1024 * 1024;
   constexpr std::uint32_t kMaxDescriptors = 1'000'000;
   constexpr std::int64_t kMaxDrainMs = 600'000;
-  ReadNumber<std::size_t>(check, "limits", "memory_mb", 0, kMaxMemoryMb, out.memory_mb);
-  ReadNumber<std::uint32_t>(check, "limits", "max_descriptors", 0, kMaxDescriptors, out.max_descriptors);
+  // A platform may state its figures with a fraction.
+  double memory_mb = 0;
+  double descriptors = 0;
+  ReadNumber<double>(check, "limits", "memory_mb", 0, kMaxMemoryMb, memory_mb);
+  ReadNumber<double>(check, "limits", "max_descriptors", 0, kMaxDescriptors, descriptors);
+  out.memory_mb = static_cast<std::size_t>(memory_mb);
+  out.max_descriptors = static_cast<std::uint32_t>(descriptors);
   ReadNumber<std::uint32_t>(check, "limits", "max_connections", 0, kMaxDescriptors, out.max_connections);
   ReadNumber<std::size_t>(check, "limits", "max_held_bytes", 0, std::size_t{1} << 36U, out.max_held_bytes);
   ReadNumber<std::uint32_t>(check, "limits", "max_pipelined_requests", 1, 10'000, out.max_pipelined_requests);
