--- a/shell/connection_limits.cc
+++ b/shell/connection_limits.cc
@@ -1,13 +1,20 @@
 #include "shell/connection_limits.h"
 
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
 #include <algorithm>
-#include <condition_variable>
+#include <array>
+#include <cerrno>
 #include <mutex>
 #include <thread>
-#include <unordered_set>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "shell/peer_stream.h"
+
 namespace limpetrouter::shell {
 namespace {
 
@@ -30,6 +37,9 @@
 /// Connections are closed until this share of the bound is held, so that each check does not close another one.
 constexpr double kTargetShare = 0.875;
 constexpr std::chrono::milliseconds kCheckInterval{250};
+constexpr std::size_t kEventBatch = 64;
+/// Identifies the descriptor that wakes the thread; accounts have larger numbers.
+constexpr std::uint64_t kWakeId = 0;
 /// A connection that was used more recently is not idle: its next request may be on its way.
 constexpr std::chrono::seconds kMinIdle{5};
 
@@ -80,11 +90,48 @@
   std::array<std::atomic<std::uint64_t>, kCloseReasons> closed{};
 
   mutable std::mutex mutex;
-  std::condition_variable stop;
-  bool stopping = false;
-  std::unordered_set<account_ptr> accounts;
+  std::unordered_map<std::uint64_t, account_ptr> accounts;
+  std::uint64_t next_id = kWakeId + 1;
+
+  unique_fd epoll{::epoll_create1(EPOLL_CLOEXEC)};
+  unique_fd wake{::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)};
+  std::atomic<bool> stopping{false};
+  std::mutex posted_mutex;
+  std::vector<account_ptr> posted;
+  /// Held by the thread while it calls functions of accounts.
+  std::mutex callback_mutex;
   std::thread thread;
 
+  void Wake() const {
+    const std::uint64_t one = 1;
+    static_cast<void>(!::write(wake.Get(), &one, sizeof one));
+  }
+
+  account_ptr Find(std::uint64_t id) const {
+    const std::lock_guard lock(mutex);
+    const auto found = accounts.find(id);
+    return found == accounts.end() ? nullptr : found->second;
+  }
+
+  void Handle(const epoll_event& event) {
+    if (event.data.u64 == kWakeId) {
+      std::uint64_t count = 0;
+      static_cast<void>(!::read(wake.Get(), &count, sizeof count));
+    } else if (const account_ptr account = Find(event.data.u64); account != nullptr) {
+      account->writable();
+    }
+  }
+
+  void ResumePosted() {
+    std::vector<account_ptr> taken;
+    {
+      const std::lock_guard lock(posted_mutex);
+      taken.swap(posted);
+    }
+    for (const account_ptr& account : taken)
+      account->resume();
+  }
+
   bool End(const account_ptr& account, close_reason reason) {
     if (!account->end(reason)) return false;
     ++closed[static_cast<std::size_t>(reason)];
@@ -96,7 +143,7 @@
     const std::lock_guard lock(mutex);
     account_ptr largest;
     std::size_t most = 0;
-    for (const account_ptr& each : accounts) {
+    for (const auto& [id, each] : accounts) {
       if (each->held <= most) continue;
       most = each->held;
       largest = each;
@@ -108,8 +155,8 @@
   account_ptr FindIdle() const {
     account_ptr oldest;
     const steady_clock::time_point latest = steady_clock::now() - kMinIdle;
-    for (const account_ptr& each : accounts) {
-      if (each->held > 0 || each->last_active.load() > latest) continue;
+    for (const auto& [id, each] : accounts) {
+      if (each->busy || each->last_active.load() > latest) continue;
       if (oldest == nullptr || each->last_active.load() < oldest->last_active.load()) oldest = each;
     }
     return oldest;
@@ -128,7 +175,8 @@
     std::vector<account_ptr> all;
     {
       const std::lock_guard lock(mutex);
-      all.assign(accounts.begin(), accounts.end());
+      for (const auto& [id, account] : accounts)
+        all.push_back(account);
     }
     const steady_clock::time_point now = steady_clock::now();
     for (const account_ptr& account : all) {
@@ -149,12 +197,20 @@
   }
 
   void Run() {
-    std::unique_lock lock(mutex);
-    while (!stop.wait_for(lock, kCheckInterval, [this] { return stopping; })) {
-      lock.unlock();
+    std::array<epoll_event, kEventBatch> events{};
+    steady_clock::time_point next_check = steady_clock::now() + kCheckInterval;
+    while (!stopping) {
+      const auto wait = std::chrono::ceil<std::chrono::milliseconds>(next_check - steady_clock::now());
+      const int count = ::epoll_wait(epoll.Get(), events.data(), static_cast<int>(events.size()),
+                                     std::max(0, static_cast<int>(wait.count())));
+      const std::lock_guard lock(callback_mutex);
+      for (int i = 0; i < count; ++i)
+        Handle(events[static_cast<std::size_t>(i)]);
+      ResumePosted();
+      if (steady_clock::now() < next_check) continue;
+      next_check = steady_clock::now() + kCheckInterval;
       CheckAll();
       if (report) report(Totals());
-      lock.lock();
     }
   }
 };
@@ -164,16 +220,19 @@
     : impl_(std::make_shared<impl>()) {
   impl_->bounds = bounds;
   impl_->report = std::move(report);
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.u64 = kWakeId;
+  ::epoll_ctl(impl_->epoll.Get(), EPOLL_CTL_ADD, impl_->wake.Get(), &event);
   impl_->thread = std::thread([this] { impl_->Run(); });
 }
 
 connection_limits::~connection_limits() {
-  {
-    const std::lock_guard lock(impl_->mutex);
-    impl_->stopping = true;
-  }
-  impl_->stop.notify_all();
+  impl_->stopping = true;
+  impl_->Wake();
   impl_->thread.join();
+  // The accounts may refer to connections that refer to this object.
+  impl_->posted.clear();
 }
 
 const connection_bounds& connection_limits::Bounds() const { return impl_->bounds; }
@@ -188,9 +247,10 @@
       idle = impl_->FindIdle();
       admitted = idle != nullptr;
       // The idle connection leaves the count at once, although its thread closes it later.
-      if (admitted) impl_->accounts.erase(idle);
+      if (admitted) impl_->accounts.erase(idle->id);
     }
-    if (admitted) impl_->accounts.insert(account);
+    account->id = impl_->next_id++;
+    if (admitted) impl_->accounts.emplace(account->id, account);
   }
   if (idle != nullptr) impl_->End(idle, close_reason::kIdle);
   if (!admitted) CountClosed(close_reason::kRefused);
@@ -200,7 +260,7 @@
 void connection_limits::Close(const account_ptr& account) {
   SetHeld(*account, 0);
   const std::lock_guard lock(impl_->mutex);
-  impl_->accounts.erase(account);
+  impl_->accounts.erase(account->id);
 }
 
 void connection_limits::SetHeld(connection_account& account, std::size_t bytes) {
@@ -210,6 +270,24 @@
 
 void connection_limits::Enforce() { impl_->Enforce(); }
 
+void connection_limits::AwaitWritable(const connection_account& account, int socket) {
+  epoll_event event{};
+  event.events = EPOLLOUT | EPOLLONESHOT;
+  event.data.u64 = account.id;
+  if (::epoll_ctl(impl_->epoll.Get(), EPOLL_CTL_MOD, socket, &event) == 0 || errno != ENOENT) return;
+  ::epoll_ctl(impl_->epoll.Get(), EPOLL_CTL_ADD, socket, &event);
+}
+
+void connection_limits::PostResume(const account_ptr& account) {
+  {
+    const std::lock_guard lock(impl_->posted_mutex);
+    impl_->posted.push_back(account);
+  }
+  impl_->Wake();
+}
+
+void connection_limits::AwaitCallbacks() { const std::lock_guard lock(impl_->callback_mutex); }
+
 void connection_limits::CountClosed(close_reason reason) { ++impl_->closed[static_cast<std::size_t>(reason)]; }
 
 std::shared_ptr<void> connection_limits::ChargeRequest(std::size_t bytes) {
--- a/shell/connection_limits.h
+++ b/shell/connection_limits.h
@@ -44,14 +44,23 @@
 
 connection_bounds DeriveBounds(const caller_limits& limits);
 
-/// What is held for one connection. `end` and `check` are called without locks of `connection_limits`.
+/// What is held for one connection. Its functions are called without locks of `connection_limits`.
 struct connection_account {
+  /// Set by `Open`.
+  std::uint64_t id = 0;
   std::atomic<std::size_t> held{0};
   /// Closes the connection. Returns false if it was closed already.
   std::function<bool(close_reason)> end;
   /// Updates `held` with the socket's buffers. Returns a reason if the connection must be closed.
   std::function<std::optional<close_reason>(std::chrono::steady_clock::time_point)> check;
-  /// Time of the last input or written answer.
+  /// Called on the thread of the checks once the socket accepts bytes after `AwaitWritable`.
+  std::function<void()> writable;
+  /// Called on the thread of the checks after `PostResume`.
+  std::function<void()> resume;
+  /// A request has no written answer yet.
+  std::atomic<bool> busy{false};
+  /// Time of the last complete request or written answer. An incomplete request does not count, because it may never be
+  /// completed.
   std::atomic<std::chrono::steady_clock::time_point> last_active{std::chrono::steady_clock::now()};
 };
 using account_ptr = std::shared_ptr<connection_account>;
@@ -65,7 +74,7 @@
 };
 
 /// Bounds what the process holds for the connections of all its listeners. Thread-safe. A thread checks all connections
-/// four times in a second.
+/// four times in a second, and continues writes to sockets that were full.
 class connection_limits {
  public:
   /// `report` receives the totals after each check, on the thread of the checks.
@@ -83,6 +92,11 @@
   void SetHeld(connection_account& account, std::size_t bytes);
   /// Closes the connections that hold most while all together hold too much. The caller holds no lock of a connection.
   void Enforce();
+  /// Waits until the socket accepts bytes. The socket must be open.
+  void AwaitWritable(const connection_account& account, int socket);
+  void PostResume(const account_ptr& account);
+  /// Returns once no function of an account that was called before is still running.
+  void AwaitCallbacks();
   /// Counts a connection that was closed by itself.
   void CountClosed(close_reason reason);
   /// Returns a charge for a request of `bytes` that is passed on, or null if the bound is reached. The request counts
--- a/shell/http_connection.cc
+++ b/shell/http_connection.cc
@@ -5,11 +5,14 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <iterator>
 #include <utility>
 
 #include <fmt/format.h>
 
+#include "shell/socket_statistics.h"
+
 namespace limpetrouter::shell {
 namespace {
 
@@ -49,13 +52,13 @@
   return c.limits->Bounds().drain_timeout + std::chrono::duration_cast<steady_clock::duration>(transfer);
 }
 
-/// Whether the caller has not received in time what was written to the socket. The caller holds `c.mutex`.
-bool IsSocketStalled(http_connection& c, std::size_t unacknowledged, steady_clock::time_point now) {
-  // Pistache fills the buffer while it has more to write, so that its level says nothing then.
-  const bool decreased = unacknowledged == 0 || unacknowledged < c.unacknowledged_bytes || !c.unwritten.empty();
-  if (decreased) c.unacknowledged_since = now;
-  c.unacknowledged_bytes = unacknowledged;
-  return now - c.unacknowledged_since > DrainTime(c, 0);
+/// Whether the caller has received nothing for the drain timeout although there is something for it. The caller of the
+/// function holds `c.mutex`.
+bool IsStalled(http_connection& c, int socket, bool outstanding, steady_clock::time_point now) {
+  const std::uint64_t acknowledged = BytesAcknowledged(socket).value_or(c.acknowledged_bytes);
+  if (!outstanding || acknowledged != c.acknowledged_bytes) c.acknowledged_at = now;
+  c.acknowledged_bytes = acknowledged;
+  return now - c.acknowledged_at > c.limits->Bounds().drain_timeout;
 }
 
 std::optional<close_reason> CheckConnection(http_connection& c, steady_clock::time_point now) {
@@ -68,8 +71,9 @@
     return std::nullopt;
   c.socket_bytes = static_cast<std::size_t>(unread) + static_cast<std::size_t>(unacknowledged);
   UpdateAccount(c);
-  const bool late = !c.unwritten.empty() && now - c.write_started > DrainTime(c, c.unwritten.front());
-  if (IsSocketStalled(c, static_cast<std::size_t>(unacknowledged), now) || late) return close_reason::kNotDrained;
+  const bool late = !c.unwritten.empty() && now - c.write_started > DrainTime(c, c.unwritten.front().bytes.size());
+  const bool stalled = IsStalled(c, peer->fd(), unacknowledged > 0 || !c.unwritten.empty(), now);
+  if (stalled || late) return close_reason::kNotDrained;
   return std::nullopt;
 }
 
@@ -96,9 +100,8 @@
   ::setsockopt(peer->fd(), SOL_SOCKET, SO_SNDBUF, &kSendBufferBytes, sizeof kSendBufferBytes);
 }
 
-void StartWrites(http_connection& c, bool close_connections, std::vector<started_write>& writes) {
-  const std::shared_ptr<pistache_tcp::Peer> peer = c.peer.lock();
-  while (peer != nullptr && !c.ended && !c.exchanges.empty() && c.exchanges.front().answer.has_value()) {
+void QueueAnswers(http_connection& c, bool close_connections) {
+  while (!c.ended && !c.exchanges.empty() && c.exchanges.front().answer.has_value()) {
     exchange completed = std::move(c.exchanges.front());
     c.exchanges.pop_front();
     c.request_bytes -= completed.request_bytes;
@@ -108,21 +111,49 @@
     std::string text = EncodeHead(completed, close);
     if (!completed.without_body) text += completed.answer->body;
     if (close) c.closing = true;
-    const std::size_t size = text.size();
     if (c.unwritten.empty()) c.write_started = steady_clock::now();
-    c.unwritten.push_back(size);
-    c.unwritten_bytes += size;
-    writes.push_back({peer->send(Pistache::RawBuffer(std::move(text), size), MSG_NOSIGNAL), close});
+    c.unwritten_bytes += text.size();
+    c.unwritten.push_back({std::move(text), 0, true, close});
   }
-  UpdateAccount(c);
 }
 
-void RemoveWritten(http_connection& c) {
-  c.unwritten_bytes -= c.unwritten.front();
-  c.unwritten.pop_front();
-  c.write_started = steady_clock::now();
-  c.account->last_active = c.write_started;
+std::size_t WriteQueued(http_connection& c) {
+  const std::shared_ptr<pistache_tcp::Peer> peer = c.peer.lock();
+  std::size_t completed = 0;
+  while (peer != nullptr && !c.closed && !c.ended && !c.awaiting_writable && !c.unwritten.empty()) {
+    outgoing_text& front = c.unwritten.front();
+    const std::string_view rest = std::string_view(front.bytes).substr(front.written);
+    const ssize_t count = ::send(peer->fd(), rest.data(), rest.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (count < 0 && errno == EINTR) continue;
+    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      c.awaiting_writable = true;
+      c.limits->AwaitWritable(*c.account, peer->fd());
+      break;
+    }
+    if (count < 0) {
+      // The connection is lost. Its thread reads the end of the input and closes it.
+      ::shutdown(peer->fd(), SHUT_RDWR);
+      break;
+    }
+    front.written += static_cast<std::size_t>(count);
+    c.unwritten_bytes -= static_cast<std::size_t>(count);
+    if (front.written < front.bytes.size()) continue;
+    // Only the write side is shut down: closing a socket with unread input would reset the connection before the caller
+    // has read the answer.
+    if (front.close_after) ::shutdown(peer->fd(), SHUT_WR);
+    if (front.is_answer) ++completed;
+    c.unwritten.pop_front();
+    c.write_started = steady_clock::now();
+    c.account->last_active = c.write_started;
+  }
+  if (peer != nullptr && c.exchanges.empty() && c.unwritten.empty()) peer->setIdle(true);
   UpdateAccount(c);
+  return completed;
+}
+
+std::size_t CountUnwritten(const http_connection& c) {
+  return static_cast<std::size_t>(
+      std::count_if(c.unwritten.begin(), c.unwritten.end(), [](const outgoing_text& each) { return each.is_answer; }));
 }
 
 bool IsBehind(const http_connection& c) {
@@ -133,6 +164,7 @@
 
 void UpdateAccount(http_connection& c) {
   if (c.closed || c.ended) return;
+  c.account->busy = !c.exchanges.empty() || !c.unwritten.empty();
   c.limits->SetHeld(*c.account, c.received.size() + c.input_bytes + c.waiting_answer_bytes + c.unwritten_bytes +
                                     c.socket_bytes +
                                     kExchangeOverheadBytes * (c.exchanges.size() + c.unwritten.size()));
@@ -147,6 +179,8 @@
   for (exchange& e : c.exchanges)
     e.answer.reset();
   c.waiting_answer_bytes = 0;
+  for (outgoing_text& each : c.unwritten)
+    each.bytes = {};
   const std::shared_ptr<pistache_tcp::Peer> peer = c.peer.lock();
   if (peer == nullptr) return true;
   if (reason != close_reason::kIdle) {
--- a/shell/http_connection.h
+++ b/shell/http_connection.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <mutex>
@@ -34,6 +35,16 @@
   std::chrono::steady_clock::time_point received;
 };
 
+/// Bytes on their way to the caller.
+struct outgoing_text {
+  std::string bytes;
+  std::size_t written = 0;
+  /// Whether this is an answer rather than an interim one.
+  bool is_answer = true;
+  /// Whether the connection is closed after it.
+  bool close_after = false;
+};
+
 /// State of one client connection. `mutex` guards the members below it.
 struct http_connection {
   std::weak_ptr<Pistache::Tcp::Peer> peer;
@@ -54,14 +65,13 @@
   std::string received;
   /// Size of `input` when it was last parsed.
   std::size_t input_bytes = 0;
-  /// A thread takes requests from the input. Usually this is the connection's thread, but the callback of a write may
-  /// run on another one.
+  /// A thread takes requests from the input: the connection's thread, or the one that resumes paused connections.
   bool parsing = false;
   /// The thread that takes requests must look at the input again.
   bool parse_again = false;
   /// No requests are taken until an answer is written.
   bool paused = false;
-  /// Exchanges whose answers have not been handed to Pistache, in the order of the requests.
+  /// Exchanges whose answers are not in `unwritten`, in the order of the requests.
   std::deque<exchange> exchanges;
   std::size_t request_bytes = 0;
   /// Size of the answers that are in `exchanges`.
@@ -70,19 +80,22 @@
   bool closed = false;
   /// The connection was shut down in both directions because of a limit.
   bool ended = false;
-  /// An answer with "Connection: close" was handed to Pistache. An opaque server ignores later requests of the
-  /// connection.
+  /// An answer with "Connection: close" is in `unwritten` or was written. An opaque server ignores later requests of
+  /// the connection.
   bool closing = false;
-  /// Sizes of the answers that were handed to Pistache and are not written yet, in their order.
-  std::deque<std::size_t> unwritten;
+  /// Answers that are not written completely, in their order.
+  std::deque<outgoing_text> unwritten;
   std::size_t unwritten_bytes = 0;
+  /// The socket is full; `unwritten` goes on once it accepts bytes.
+  bool awaiting_writable = false;
   /// Time at which the first of them became the first.
   std::chrono::steady_clock::time_point write_started;
   /// Bytes in the buffers of the socket, as of the last check.
   std::size_t socket_bytes = 0;
-  /// Bytes that the caller has not acknowledged, as of the last check, and the time since when they have not decreased.
-  std::size_t unacknowledged_bytes = 0;
-  std::chrono::steady_clock::time_point unacknowledged_since;
+  /// Bytes that the caller has acknowledged, as of the last check, and the last time at which there was nothing for it
+  /// or this number had changed.
+  std::uint64_t acknowledged_bytes = 0;
+  std::chrono::steady_clock::time_point acknowledged_at = std::chrono::steady_clock::now();
 
   http_connection(const std::shared_ptr<Pistache::Tcp::Peer>& peer, std::shared_ptr<connection_limits> limits);
   ~http_connection();
@@ -94,20 +107,15 @@
 /// Limits the buffers of the socket, and connects the account to the connection.
 void PrepareConnection(const connection_ptr& c);
 
-/// A write that Pistache has started. Its callbacks are attached after all locks are released, because they may run
-/// immediately on the same thread.
-struct started_write {
-  Pistache::Async::Promise<ssize_t> promise;
-  /// Whether the connection is closed after the write.
-  bool close_after = false;
-};
+/// Moves the answers whose preceding requests have all been answered to `unwritten`. If `close_connections` is set, the
+/// last one closes the connection. The caller holds `c.mutex`.
+void QueueAnswers(http_connection& c, bool close_connections);
 
-/// Hands Pistache the answers whose preceding requests have all been answered. If `close_connections` is set, the last
-/// one closes the connection. The caller holds `c.mutex`.
-void StartWrites(http_connection& c, bool close_connections, std::vector<started_write>& writes);
+/// Writes until the socket is full. Returns the number of answers that were completed. The caller holds `c.mutex`.
+std::size_t WriteQueued(http_connection& c);
 
-/// Removes the first unwritten answer. The caller holds `c.mutex`.
-void RemoveWritten(http_connection& c);
+/// Number of answers in `unwritten`. The caller holds `c.mutex`.
+std::size_t CountUnwritten(const http_connection& c);
 
 /// Whether the connection has so many requests without a written answer that no further one is taken. The caller holds
 /// `c.mutex`.
