--- a/shell/framing.h
+++ b/shell/framing.h
@@ -28,6 +28,9 @@
   /// of the stream cannot be read then.
   core::base::result<std::optional<std::string_view>> Next();
 
+  /// Number of received bytes that `Next` has not returned.
+  std::size_t IncompleteBytes() const { return buffer_.size() - consumed_; }
+
  private:
   std::size_t max_message_bytes_;
   std::string buffer_;
--- a/shell/http_request_reader.cc
+++ b/shell/http_request_reader.cc
@@ -138,6 +138,7 @@
     return true;
   }
 
+ private:
   /// Like `ConsumeRequest`, but for opaque servers: the target and the header fields are not decoded.
   bool ConsumeOpaqueRequest() {
     if (c_->input.empty() || IsClosing()) return false;
--- a/shell/peer_links.cc
+++ b/shell/peer_links.cc
@@ -11,10 +11,8 @@
 #include <cstring>
 #include <mutex>
 #include <thread>
-#include <type_traits>
 #include <unordered_map>
 #include <utility>
-#include <variant>
 #include <vector>
 
 #include <fmt/format.h>
@@ -46,35 +44,13 @@
 constexpr std::uint64_t kListenTag = 2;
 constexpr std::uint64_t kFirstLinkTag = 3;
 
-/// Returns true for messages whose sender waits for an answer.
-bool ExpectsAnswer(const core::peer::message& message) {
-  return std::holds_alternative<core::peer::gather_request>(message.body) ||
-         std::holds_alternative<core::peer::forward_request>(message.body) ||
-         std::holds_alternative<core::peer::relay_request>(message.body);
-}
-
 }  // namespace
 
-message_plane PlaneOf(const core::peer::message& message) {
-  const bool data = std::visit(
-      [](const auto& body) {
-        using body_type = std::decay_t<decltype(body)>;
-        return std::is_same_v<body_type, core::peer::gather_request> ||
-               std::is_same_v<body_type, core::peer::gather_answer> ||
-               std::is_same_v<body_type, core::peer::gather_cancel> ||
-               std::is_same_v<body_type, core::peer::forward_request> ||
-               std::is_same_v<body_type, core::peer::forward_answer> ||
-               std::is_same_v<body_type, core::peer::relay_request> ||
-               std::is_same_v<body_type, core::peer::relay_answer> ||
-               std::is_same_v<body_type, core::peer::relay_cancel>;
-      },
-      message.body);
-  return data ? message_plane::kData : message_plane::kControl;
-}
-
 struct peer_links::impl {
   std::string listen_address;
   std::size_t max_queue_bytes = 0;
+  /// Limit for the messages to all peers, and for the incomplete messages from all peers.
+  std::size_t max_held_bytes = 0;
   std::size_t max_connections = 0;
   peer_observer observer;
   logger* log = nullptr;
@@ -96,6 +72,7 @@
   std::unordered_map<std::string, std::uint64_t> outgoing_tags;
   std::unordered_map<std::uint64_t, outgoing_link> outgoing;
   std::unordered_map<std::uint64_t, incoming_link> incoming;
+  std::size_t incomplete_bytes = 0;
   steady_clock::time_point last_expiry_check;
   std::vector<char> read_buffer = std::vector<char>(kReadBytes);
 
@@ -120,6 +97,8 @@
   /// Returns false if the connection must be closed.
   bool ReadIncoming(incoming_link& link);
   bool TakeFrames(incoming_link& link);
+  bool CountIncomplete(incoming_link& link);
+  void CloseIncoming(std::unordered_map<std::uint64_t, incoming_link>::iterator link);
   void ReportMalformed(const std::string& from, const core::base::error& error);
   void CloseExpiredLinks();
 };
@@ -248,7 +227,7 @@
     log->Warning("message_too_large", {{"target", command.target.value}, {"bytes", std::to_string(encoded.size())}});
     return ReportSendFailure(command.target, false, std::move(command.message));
   }
-  if (link.queued_bytes + encoded.size() > max_queue_bytes) {
+  if (link.queued_bytes + encoded.size() > max_queue_bytes || queued_bytes + encoded.size() > max_held_bytes) {
     return ReportSendFailure(command.target, false, std::move(command.message));
   }
   if (link.queue.empty()) link.last_progress = now;
@@ -338,7 +317,7 @@
 void peer_links::impl::HandleIncoming(std::uint64_t tag) {
   const auto found = incoming.find(tag);
   if (found == incoming.end()) return;
-  if (!ReadIncoming(found->second)) incoming.erase(found);
+  if (!ReadIncoming(found->second)) CloseIncoming(found);
 }
 
 bool peer_links::impl::ReadIncoming(incoming_link& link) {
@@ -349,10 +328,24 @@
     link.last_read = steady_clock::now();
     link.frames.Append({read_buffer.data(), static_cast<std::size_t>(size)});
     if (!TakeFrames(link)) return false;
+    if (!CountIncomplete(link)) return false;
   }
   return true;
 }
 
+bool peer_links::impl::CountIncomplete(incoming_link& link) {
+  const std::size_t bytes = link.frames.IncompleteBytes();
+  incomplete_bytes += bytes - std::exchange(link.counted_bytes, bytes);
+  if (incomplete_bytes <= max_held_bytes) return true;
+  log->Warning("peer_connection_closed", {{"from", link.from}, {"incomplete_bytes", std::to_string(incomplete_bytes)}});
+  return false;
+}
+
+void peer_links::impl::CloseIncoming(std::unordered_map<std::uint64_t, incoming_link>::iterator link) {
+  incomplete_bytes -= link->second.counted_bytes;
+  incoming.erase(link);
+}
+
 bool peer_links::impl::TakeFrames(incoming_link& link) {
   while (true) {
     const auto next = link.frames.Next();
@@ -395,13 +388,17 @@
     outgoing_tags.erase(link.address);
     it = outgoing.erase(it);
   }
-  std::erase_if(incoming, [now](const auto& item) { return now - item.second.last_read > kIncomingIdleTimeout; });
+  for (auto it = incoming.begin(); it != incoming.end();) {
+    const auto link = it++;
+    if (now - link->second.last_read > kIncomingIdleTimeout) CloseIncoming(link);
+  }
 }
 
 peer_links::peer_links(const settings& settings, peer_observer observer, logger& log)
     : impl_(std::make_unique<impl>()) {
   impl_->listen_address = settings.listen_peer;
   impl_->max_queue_bytes = settings.max_peer_queue_bytes;
+  impl_->max_held_bytes = settings.max_peer_held_bytes;
   impl_->max_connections = settings.max_peer_connections;
   impl_->observer = std::move(observer);
   impl_->log = &log;
--- a/shell/peer_links.h
+++ b/shell/peer_links.h
@@ -8,16 +8,11 @@
 #include "core/io/command.h"
 #include "core/io/event.h"
 #include "shell/log.h"
+#include "shell/message_plane.h"
 #include "shell/settings.h"
 
 namespace limpetrouter::shell {
 
-/// Purpose of a message. The data plane carries queries and requests. The control plane carries all other messages
-/// between instances, whose bytes have a budget per instance.
-enum class message_plane : std::uint8_t { kData, kControl };
-
-message_plane PlaneOf(const core::peer::message& message);
-
 /// Callbacks, called on the thread of the links.
 struct peer_observer {
   /// Receives messages, and messages that were not delivered.
--- a/shell/peer_stream.h
+++ b/shell/peer_stream.h
@@ -98,6 +98,8 @@
   std::string from;
   frame_reader frames;
   std::chrono::steady_clock::time_point last_read;
+  /// Bytes of an incomplete message that count towards the limit of all connections.
+  std::size_t counted_bytes = 0;
 };
 
 }  // namespace limpetrouter::shell
--- a/shell/settings.cc
+++ b/shell/settings.cc
@@ -285,6 +285,21 @@
   out.drain_timeout = std::chrono::milliseconds(drain_ms);
 }
 
+/// Lowers the defaults that a machine of the stated memory cannot hold.
+void DeriveFromMemory(const checker& check, settings& out) {
+  constexpr std::size_t kMegabyte = 1024 * 1024;
+  constexpr std::size_t kShareOfMemory = 8;
+  // Two messages of the largest size.
+  constexpr std::size_t kMinPeerBytes = 8 * kMegabyte;
+  // The platform's list of backend servers may take several MB.
+  constexpr std::size_t kMinAnswerBytes = 16 * kMegabyte;
+  if (out.callers.memory_mb == 0) return;
+  const std::size_t share = out.callers.memory_mb * kMegabyte / kShareOfMemory;
+  out.max_peer_held_bytes = std::min(out.max_peer_held_bytes, std::max(share, kMinPeerBytes));
+  if (check.Value("limits", "max_buffered_answer_bytes").has_value()) return;
+  out.answers.max_buffered_bytes = std::min(out.answers.max_buffered_bytes, std::max(share, kMinAnswerBytes));
+}
+
 void ReadAll(checker& check, settings& out) {
   ReadForwarding(check, out);
   ReadSeeds(check, out);
@@ -318,6 +333,7 @@
   ReadNumber<std::size_t>(check, "limits", "max_buffered_answer_bytes", 16 * 1024 * 1024, std::size_t{1} << 30U,
                           out.answers.max_buffered_bytes);
   ReadCallerLimits(check, out.callers);
+  DeriveFromMemory(check, out);
 }
 
 /// Reports advertised wildcard addresses: an instance can listen on one, but nobody can connect to it.
--- a/shell/settings.h
+++ b/shell/settings.h
@@ -77,6 +77,9 @@
   std::size_t max_request_bytes = 128 * 1024;
   /// Limit for the messages that wait for one peer connection, in bytes.
   std::size_t max_peer_queue_bytes = 16 * 1024 * 1024;
+  /// Limit for the messages that wait for all peer connections, and for incomplete messages that were received from all
+  /// of them, in bytes. It follows from `callers.memory_mb` if that is set.
+  std::size_t max_peer_held_bytes = 64 * 1024 * 1024;
   /// Limit for open connections from other instances.
   std::uint32_t max_peer_connections = 2'000;
   /// Number of threads that call backend servers. Each thread serves a part of the servers.
--- a/shell/transfer.cc
+++ b/shell/transfer.cc
@@ -159,10 +159,11 @@
     t.time_left_line = last->data;
   }
   curl_easy_setopt(handle, CURLOPT_HTTPHEADER, t.header_list);
-  const bool sends_body = !t.request.body.empty() || t.request.method == "POST" || t.request.method == "PUT";
+  const std::string& body = t.request.shared_body != nullptr ? *t.request.shared_body : t.request.body;
+  const bool sends_body = !body.empty() || t.request.method == "POST" || t.request.method == "PUT";
   if (sends_body) {
-    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(t.request.body.size()));
-    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, t.request.body.data());
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body.size()));
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, body.data());
   } else if (t.request.method == "HEAD") {
     curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
   }
--- a/shell/transfer_pool.h
+++ b/shell/transfer_pool.h
@@ -60,6 +60,8 @@
   /// Path and query of an opaque request; `url` gives the address only.
   std::string target;
   http_headers headers;
+  /// If set, the body of an opaque request in place of `body`. The calls of a sharded request share one body.
+  std::shared_ptr<const std::string> shared_body;
   /// Name of a header field of an opaque request that states the milliseconds left until the deadline; empty for none.
   /// Its value is computed as the request is written, because a process that lacks CPU time may write the request long
   /// after it started the transfer.
--- a/tests/shell/peer_links_test.cc
+++ b/tests/shell/peer_links_test.cc
@@ -34,10 +34,11 @@
   settings config;
   std::unique_ptr<peer_links> links;
 
-  explicit test_peer(std::uint32_t max_connections = 100) {
+  explicit test_peer(std::uint32_t max_connections = 100, std::size_t max_held_bytes = 64 * 1024 * 1024) {
     config.listen_peer = FreeAddress();
     config.max_peer_connections = max_connections;
     config.max_peer_queue_bytes = 4 * 1024 * 1024;
+    config.max_peer_held_bytes = max_held_bytes;
     const peer_observer observer{[this](core::io::event event) { Collect(std::move(event)); },
                                  [](message_plane, std::size_t) {}, [](message_plane, std::size_t) {},
                                  [this] { ++malformed; }};
@@ -143,6 +144,31 @@
   ::close(frozen);
 }
 
+// Guards against memory that grows with the number of connections which announce a large message and never complete it.
+TEST_CASE("incomplete messages of all connections together are limited") {
+  test_peer peer(100, 1024 * 1024);
+  std::vector<int> open;
+  std::string start = MakeFrame(std::string(600'000, 'x'));
+  start.resize(500'000);
+  for (int i = 0; i < 4; ++i) {
+    open.push_back(ConnectTo(peer.config.listen_peer));
+    ::send(open.back(), start.data(), start.size(), MSG_NOSIGNAL);
+  }
+  std::size_t closed = 0;
+  REQUIRE(Eventually([&] {
+    closed = 0;
+    for (const int fd : open) {
+      char byte = 0;
+      const ssize_t count = ::recv(fd, &byte, 1, MSG_DONTWAIT);
+      if (count == 0 || (count < 0 && errno != EAGAIN)) ++closed;
+    }
+    return closed >= 2;
+  }));
+  CHECK(closed == 2);
+  for (const int fd : open)
+    ::close(fd);
+}
+
 // Guards against a peer or another client that disrupts the instance with bytes that are not messages.
 TEST_CASE("malformed streams are counted and closed") {
   test_peer b(200);
--- a/tests/shell/settings_test.cc
+++ b/tests/shell/settings_test.cc
@@ -110,5 +110,24 @@
   CHECK(SplitAddress(r.text, ip, port) == r.valid);
 }
 
+// Guards against limits of callers that are accepted but not applied, and against defaults that exceed a small machine.
+TEST_CASE("limits follow from the memory of the machine") {
+  const std::string section = "[limits]\nmemory_mb = 160.0\nmax_descriptors = 4100\nmax_pipelined_requests = 8\n";
+  settings_result read = ParseSettings(std::string(kMinimalSettings) + section, "k1.ini");
+  REQUIRE(read.has_value());
+  CHECK(read->callers.memory_mb == 160);
+  CHECK(read->callers.max_descriptors == 4100);
+  CHECK(read->callers.max_pipelined_requests == 8);
+  CHECK(read->max_peer_held_bytes == 20 * 1024 * 1024);
+  CHECK(read->answers.max_buffered_bytes == 20 * 1024 * 1024);
+  read = ParseSettings(std::string(kMinimalSettings) + section + "max_buffered_answer_bytes = 30000000\n", "k1.ini");
+  REQUIRE(read.has_value());
+  CHECK(read->answers.max_buffered_bytes == 30'000'000);
+  read = ParseSettings(kMinimalSettings, "k1.ini");
+  REQUIRE(read.has_value());
+  CHECK(read->max_peer_held_bytes == 64 * 1024 * 1024);
+  CHECK(read->answers.max_buffered_bytes == 32 * 1024 * 1024);
+}
+
 }  // namespace
 }  // namespace limpetrouter::shell
