--- a/shell/settings.cc
+++ b/shell/settings.cc
@@ -39,7 +39,8 @@
         "contracts"}},
       {"limits",
        {"max_request_bytes", "max_peer_queue_bytes", "max_peer_connections", "max_pending_requests", "backend_threads",
-        "max_answer_header_bytes", "max_buffered_answer_bytes"}},
+        "max_answer_header_bytes", "max_buffered_answer_bytes", "memory_mb", "max_descriptors", "max_connections",
+        "max_held_bytes", "max_pipelined_requests", "drain_timeout_ms"}},
   };
   return keys;
 }
@@ -277,6 +278,40 @@
   }
 }
 
+void ReadCallerLimits(checker& check, caller_limits& out) {
+  constexpr double kMaxMemoryMb = 1024 * 1024;
+  constexpr std::uint32_t kMaxDescriptors = 1'000'000;
+  constexpr std::int64_t kMaxDrainMs = 600'000;
+  // A platform may state its figures with a fraction.
+  double memory_mb = 0;
+  double descriptors = 0;
+  ReadNumber<double>(check, "limits", "memory_mb", 0, kMaxMemoryMb, memory_mb);
+  ReadNumber<double>(check, "limits", "max_descriptors", 0, kMaxDescriptors, descriptors);
+  out.memory_mb = static_cast<std::size_t>(memory_mb);
+  out.max_descriptors = static_cast<std::uint32_t>(descriptors);
+  ReadNumber<std::uint32_t>(check, "limits", "max_connections", 0, kMaxDescriptors, out.max_connections);
+  ReadNumber<std::size_t>(check, "limits", "max_held_bytes", 0, std::size_t{1} << 36U, out.max_held_bytes);
+  ReadNumber<std::uint32_t>(check, "limits", "max_pipelined_requests", 1, 10'000, out.max_pipelined_requests);
+  std::int64_t drain_ms = out.drain_timeout.count();
+  ReadNumber<std::int64_t>(check, "limits", "drain_timeout_ms", 100, kMaxDrainMs, drain_ms);
+  out.drain_timeout = std::chrono::milliseconds(drain_ms);
+}
+
+/// Lowers the defaults that a machine of the stated memory cannot hold.
+void DeriveFromMemory(const checker& check, settings& out) {
+  constexpr std::size_t kMegabyte = 1024 * 1024;
+  constexpr std::size_t kShareOfMemory = 8;
+  // Two messages of the largest size.
+  constexpr std::size_t kMinPeerBytes = 8 * kMegabyte;
+  // The platform's list of backend servers may take several MB.
+  constexpr std::size_t kMinAnswerBytes = 16 * kMegabyte;
+  if (out.callers.memory_mb == 0) return;
+  const std::size_t share = out.callers.memory_mb * kMegabyte / kShareOfMemory;
+  out.max_peer_held_bytes = std::min(out.max_peer_held_bytes, std::max(share, kMinPeerBytes));
+  if (check.Value("limits", "max_buffered_answer_bytes").has_value()) return;
+  out.answers.max_buffered_bytes = std::min(out.answers.max_buffered_bytes, std::max(share, kMinAnswerBytes));
+}
+
 void ReadAll(checker& check, settings& out) {
   ReadForwarding(check, out);
   ReadSeeds(check, out);
@@ -309,6 +344,8 @@
   // The platform's list of backend servers may take several MB.
   ReadNumber<std::size_t>(check, "limits", "max_buffered_answer_bytes", 16 * 1024 * 1024, std::size_t{1} << 30U,
                           out.answers.max_buffered_bytes);
+  ReadCallerLimits(check, out.callers);
+  DeriveFromMemory(check, out);
 }
 
 /// Reports advertised wildcard addresses: an instance can listen on one, but nobody can connect to it.
--- a/shell/settings.h
+++ b/shell/settings.h
@@ -12,6 +12,7 @@
 #include "core/base/time.h"
 #include "core/forwarding/request_table.h"
 #include "shell/answer_limits.h"
+#include "shell/caller_limits.h"
 
 namespace limpetrouter::shell {
 
@@ -78,6 +79,9 @@
   std::size_t max_request_bytes = 128 * 1024;
   /// Limit for the messages that wait for one peer connection, in bytes.
   std::size_t max_peer_queue_bytes = 16 * 1024 * 1024;
+  /// Limit for the messages that wait for all peer connections, and for incomplete messages that were received from all
+  /// of them, in bytes. It follows from `callers.memory_mb` if that is set.
+  std::size_t max_peer_held_bytes = 64 * 1024 * 1024;
   /// Limit for open connections from other instances.
   std::uint32_t max_peer_connections = 2'000;
   /// Number of threads that call backend servers. Each thread serves a part of the servers.
@@ -86,6 +90,7 @@
   std::uint32_t max_pending_requests = 50'000;
   /// Limits of the answers that one thread receives from backend servers or the platform.
   answer_limits answers;
+  caller_limits callers;
 };
 
 /// One fault of a settings file.
