Add a model of servers under load that several instances share

The fixture of one instance cannot show what happens when instances share servers. The model runs servers with slots, a queue, pauses, speeds and load reports on a virtual clock, and callers that repeat refused requests once.

--- /dev/null
+++ b/tests/core/forwarding/load_world.h
@@ -0,0 +1,526 @@
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "forwarding_world.h"
+
+namespace limpetrouter::core::forwarding {
+
+/// A class of requests, its load and what its callers need.
+struct load_kind {
+  std::string name;
+  /// Requests per second at the usual load.
+  double rate = 0;
+  base::duration work{};
+  base::duration target{};
+  base::duration deadline{};
+  std::uint32_t priority = 0;
+  /// Services of the request; a plain request has one service and no coverage.
+  std::size_t shards = 0;
+  double coverage = 1;
+  std::string service = "shard0";
+  repeat_policy repeat = repeat_policy::kIdempotent;
+};
+
+/// How the servers of a service behave.
+struct load_service {
+  std::string name;
+  std::size_t servers = 3;
+  std::uint32_t slots = 4;
+};
+
+struct load_rules {
+  base::duration pause_interval = milliseconds(4'500);
+  base::duration pause_length = milliseconds(200);
+  std::size_t queue = 24;
+  base::duration between_data_centres = std::chrono::microseconds(900);
+  base::duration within_data_centre = std::chrono::microseconds(150);
+  base::duration to_callers = milliseconds(1);
+  bool reports_load = true;
+  /// Attempts that a caller makes after the first one, and whether it repeats without regard to Retry-After.
+  int caller_retries = 1;
+  bool repeats_at_once = false;
+  std::size_t instances = 6;
+  /// Callers use only instances of data centre "a".
+  bool one_data_centre = false;
+  std::uint64_t seed = 1;
+};
+
+enum class caller_outcome : std::uint8_t { kInTime, kLate, kRefused, kTimedOut, kFailed };
+
+struct kind_counts {
+  std::size_t sent = 0;
+  std::map<caller_outcome, std::size_t> ended;
+  std::size_t Of(caller_outcome outcome) const {
+    const auto found = ended.find(outcome);
+    return found == ended.end() ? 0 : found->second;
+  }
+  std::size_t InTime() const { return Of(caller_outcome::kInTime); }
+  double InTimeShare() const { return sent == 0 ? 1 : static_cast<double>(InTime()) / static_cast<double>(sent); }
+};
+
+/// Simulates instances that share backend servers on a virtual clock. A server runs one call in each slot, queues a
+/// bounded number of further calls in order of arrival and sheds the rest.
+class load_world {
+ public:
+  struct server_model {
+    base::backend_server_id id;
+    std::string data_centre;
+    std::uint32_t slots = 4;
+    double speed = 1;
+    /// Factor on the work of calls that start now; 1 is normal.
+    double slow = 1;
+    bool down = false;
+    base::duration pause_phase{};
+    std::deque<std::uint64_t> queue;
+    std::uint32_t running = 0;
+    std::size_t started_calls = 0;
+    std::size_t shed_calls = 0;
+    std::size_t most_work = 0;
+  };
+  struct refusal {
+    base::duration after{};
+    base::executed_state executed{};
+    bool sent_anything = false;
+    std::uint32_t priority = 0;
+  };
+
+  load_rules rules;
+  std::vector<load_kind> kinds;
+  std::vector<std::unique_ptr<forwarding_fixture>> instances;
+  std::vector<server_model> servers;
+  std::vector<refusal> refusals;
+  double load = 1;
+  base::time_point now{seconds(1'000)};
+  std::size_t calls = 0;
+
+  load_world(load_rules with_rules, std::vector<load_kind> with_kinds, const std::vector<load_service>& services)
+      : rules(with_rules), kinds(std::move(with_kinds)) {
+    random_.state = base::MixHash(rules.seed, 11);
+    for (const load_service& service : services)
+      AddService(service);
+    for (std::size_t i = 0; i < rules.instances; ++i)
+      AddInstance(i, services);
+    for (std::size_t i = 0; i < kinds.size(); ++i)
+      At(now + NextGap(i), [this, i] { Arrive(i); });
+    for (std::size_t i = 0; i < instances.size(); ++i)
+      At(now + base::duration(1 + 800 * static_cast<std::int64_t>(i)), [this, i] { Tick(i); });
+  }
+
+  void Run(base::duration time) {
+    const base::time_point end = now + time;
+    while (!events_.empty() && events_.top().at <= end) {
+      const event next = events_.top();
+      events_.pop();
+      now = next.at;
+      next.run();
+    }
+    now = end;
+  }
+
+  /// Makes every third server, one of each service, slow by the factor.
+  void SlowThird(double factor) {
+    for (std::size_t i = 0; i < servers.size(); i += 3)
+      servers[i].slow = factor;
+  }
+
+  /// Returns what became of the requests that callers first sent in [from, to).
+  kind_counts Counts(base::time_point from, base::time_point to, const std::string& kind = "") const {
+    kind_counts counts;
+    for (const auto& [id, each] : callers_) {
+      if (each.first_sent < from || each.first_sent >= to) continue;
+      if (!kind.empty() && kinds[each.kind].name != kind) continue;
+      ++counts.sent;
+      if (each.ended) ++counts.ended[each.outcome];
+    }
+    return counts;
+  }
+
+  std::size_t Unended() const {
+    return static_cast<std::size_t>(
+        std::count_if(callers_.begin(), callers_.end(), [](const auto& item) { return !item.second.ended; }));
+  }
+
+ private:
+  struct event {
+    base::time_point at{};
+    std::uint64_t order = 0;
+    std::function<void()> run;
+    friend bool operator<(const event& a, const event& b) { return std::tie(b.at, b.order) < std::tie(a.at, a.order); }
+  };
+  struct caller {
+    std::size_t kind = 0;
+    base::time_point first_sent{};
+    base::time_point sent{};
+    base::time_point deadline{};
+    std::size_t instance = 0;
+    int attempts = 0;
+    std::size_t calls = 0;
+    bool ended = false;
+    caller_outcome outcome = caller_outcome::kFailed;
+  };
+  struct server_call {
+    std::size_t instance = 0;
+    call_id id;
+    std::size_t server = 0;
+    base::duration work{};
+    bool running = false;
+    bool finished = false;
+    bool answered = false;
+  };
+
+  void At(base::time_point at, std::function<void()> run) { events_.push({at, ++order_, std::move(run)}); }
+
+  base::duration NextGap(std::size_t kind) {
+    const double unit = std::max(1e-9, 1 - base::NextUnit(random_));
+    return base::duration(1 +
+                          static_cast<std::int64_t>(-std::log(unit) * 1e6 / std::max(1e-6, kinds[kind].rate * load)));
+  }
+
+  /// Log-normal with a spread of 0.35; one in 100 takes five times as long.
+  double WorkFactor() {
+    const double u = std::max(1e-9, base::NextUnit(random_));
+    const double v = base::NextUnit(random_);
+    constexpr double kTwoPi = 6.283185307179586;
+    const double normal = std::sqrt(-2 * std::log(u)) * std::cos(kTwoPi * v);
+    return std::exp(0.35 * normal) * (base::NextBelow(random_, 100) == 0 ? 5 : 1);
+  }
+
+  void AddService(const load_service& service) {
+    constexpr double kSpeeds[] = {0.8, 1.0, 1.3};
+    for (std::size_t i = 0; i < service.servers; ++i) {
+      server_model model;
+      model.id = base::backend_server_id(service.name + "-" + std::to_string(i));
+      model.data_centre = std::string(1, static_cast<char>('a' + i % 3));
+      model.slots = service.slots;
+      model.speed = kSpeeds[(i + servers.size() / 3) % 3];
+      model.pause_phase = base::duration(static_cast<std::int64_t>(base::NextBelow(
+          random_, static_cast<std::uint64_t>(std::max<std::int64_t>(1, rules.pause_interval.count())))));
+      index_[model.id.value] = servers.size();
+      servers.push_back(std::move(model));
+    }
+  }
+
+  void AddInstance(std::size_t i, const std::vector<load_service>& services) {
+    auto added = std::make_unique<forwarding_fixture>();
+    added->now = now;
+    added->random.state = base::MixHash(rules.seed, 100 + i);
+    added->members.self.ref.id = FleetInstanceId(i);
+    added->members.self.data_centre = base::data_centre_id(std::string(1, static_cast<char>('a' + i % 3)));
+    added->tables.entries = rules.instances;
+    added->tables.fleet_size = rules.instances;
+    std::vector<server_record> records;
+    for (const load_service& service : services) {
+      for (std::size_t k = 0; k < service.servers; ++k) {
+        const std::string id = service.name + "-" + std::to_string(k);
+        server_record record = forwarding_fixture::MakeServer(id, service.name, servers[index_.at(id)].data_centre);
+        record.slots = service.slots;
+        records.push_back(std::move(record));
+      }
+    }
+    added->AddServers(std::move(records));
+    auto table = std::make_shared<routing_table>();
+    table->version = 1;
+    for (const load_kind& kind : kinds) {
+      route each;
+      each.name = kind.name;
+      each.host = kind.name;
+      each.prefix = "/";
+      each.repeat = kind.repeat;
+      each.timeout = kind.deadline;
+      each.target_latency = kind.target;
+      each.priority = kind.priority;
+      each.max_attempts = 2;
+      each.merged_records = 1;
+      each.record_bytes = 1;
+      each.minimum_coverage = kind.coverage;
+      for (std::size_t shard = 0; shard < kind.shards; ++shard)
+        each.shards.emplace_back("shard" + std::to_string(shard));
+      if (kind.shards == 0) each.split.push_back({base::service_id(kind.service), 1});
+      table->routes.push_back(std::move(each));
+    }
+    added->tables.routing = table;
+    instances.push_back(std::move(added));
+  }
+
+  void Tick(std::size_t i) {
+    forwarding_fixture& fixture = *instances[i];
+    fixture.now = now;
+    instance::context ctx = fixture.Context();
+    RunRequests(fixture.tables, ctx);
+    Execute(i);
+    At(now + milliseconds(5), [this, i] { Tick(i); });
+  }
+
+  void Arrive(std::size_t kind) {
+    At(now + NextGap(kind), [this, kind] { Arrive(kind); });
+    const std::uint64_t id = ++next_caller_;
+    caller& added = callers_[id];
+    added.kind = kind;
+    added.first_sent = now;
+    added.deadline = now + kinds[kind].deadline;
+    Send(id);
+  }
+
+  void Send(std::uint64_t id) {
+    caller& from = callers_.at(id);
+    from.sent = now;
+    ++from.attempts;
+    from.calls = 0;
+    do {
+      from.instance = base::NextBelow(random_, instances.size());
+    } while (rules.one_data_centre && from.instance % 3 != 0);
+    At(now + rules.to_callers, [this, id] {
+      const caller& sender = callers_.at(id);
+      const load_kind& kind = kinds[sender.kind];
+      forwarding_fixture& fixture = *instances[sender.instance];
+      fixture.now = now;
+      auto content = std::make_shared<request>();
+      content->method = "GET";
+      content->host = kind.name;
+      content->path = "/x";
+      content->target = "/x?" + std::to_string(++next_target_);
+      content->attempt = std::to_string(id);
+      content->received = now;
+      content->client_timeout = sender.deadline - sender.sent;
+      const base::reply_handle handle(++next_handle_);
+      handles_[next_handle_] = id;
+      instance::context ctx = fixture.Context();
+      AcceptRequest(fixture.tables, ctx, {handle, content});
+      Execute(sender.instance);
+    });
+  }
+
+  void Execute(std::size_t i) {
+    forwarding_fixture& fixture = *instances[i];
+    io::command_list commands = std::exchange(fixture.out, {});
+    for (io::command& command : commands) {
+      if (auto* start = std::get_if<io::start_call>(&command); start != nullptr) StartServerCall(i, *start);
+      if (auto* cancel = std::get_if<io::cancel_call>(&command); cancel != nullptr) CancelServerCall(i, cancel->call);
+      if (auto* reply = std::get_if<io::reply_forwarded>(&command); reply != nullptr)
+        Reply(reply->handle, reply->answer);
+    }
+  }
+
+  base::duration Distance(std::size_t instance, std::size_t server) const {
+    const bool same = instances[instance]->members.self.data_centre.value == servers[server].data_centre;
+    return same ? rules.within_data_centre : rules.between_data_centres;
+  }
+
+  void StartServerCall(std::size_t i, const io::start_call& start) {
+    ++calls;
+    const std::uint64_t key = ++next_server_call_;
+    server_call& made = calls_[key];
+    made.instance = i;
+    made.id = start.call;
+    made.server = index_.at(start.server.value);
+    const std::uint64_t caller_id = std::stoull(start.request->attempt);
+    caller& sender = callers_.at(caller_id);
+    ++sender.calls;
+    made.work =
+        base::duration(static_cast<std::int64_t>(static_cast<double>(kinds[sender.kind].work.count()) * WorkFactor()));
+    by_id_[{i, start.call.value}] = key;
+    At(now + Distance(i, made.server), [this, key] { ReachServer(key); });
+    At(start.deadline, [this, key] { EndCall(key, base::error_kind::kDeadlineExceeded); });
+  }
+
+  void ReachServer(std::uint64_t key) {
+    const auto found = calls_.find(key);
+    if (found == calls_.end()) return;
+    server_model& target = servers[found->second.server];
+    if (target.down) return;
+    if (target.running < target.slots) {
+      StartWork(key);
+    } else if (target.queue.size() < rules.queue) {
+      target.queue.push_back(key);
+    } else {
+      ++target.shed_calls;
+      SendAnswer(key, true);
+      return;
+    }
+    target.most_work = std::max<std::size_t>(target.most_work, target.running + target.queue.size());
+  }
+
+  /// Returns when work that starts now ends, as a pause interrupts it.
+  base::time_point EndOfWork(const server_model& target, base::duration work) const {
+    base::time_point at = now;
+    const auto interval = rules.pause_interval;
+    if (interval <= base::duration{0} || rules.pause_length <= base::duration{0}) return at + work;
+    while (true) {
+      const base::duration phase = (at.time_since_epoch() + target.pause_phase) % interval;
+      if (phase < rules.pause_length) {
+        at += rules.pause_length - phase;
+        continue;
+      }
+      const base::duration left = interval - phase;
+      if (work <= left) return at + work;
+      at += left;
+      work -= left;
+    }
+  }
+
+  void StartWork(std::uint64_t key) {
+    server_call& made = calls_.at(key);
+    server_model& target = servers[made.server];
+    ++target.running;
+    ++target.started_calls;
+    made.running = true;
+    const auto work =
+        base::duration(static_cast<std::int64_t>(static_cast<double>(made.work.count()) * target.slow / target.speed));
+    At(EndOfWork(target, work), [this, key] { FinishWork(key); });
+  }
+
+  void FinishWork(std::uint64_t key) {
+    const auto found = calls_.find(key);
+    if (found == calls_.end() || !found->second.running) return;
+    LeaveServer(key);
+    SendAnswer(key, false);
+  }
+
+  /// Removes the call from its server, and starts the next one of the queue.
+  void LeaveServer(std::uint64_t key) {
+    server_call& made = calls_.at(key);
+    server_model& target = servers[made.server];
+    if (made.running) {
+      made.running = false;
+      --target.running;
+    } else {
+      std::erase(target.queue, key);
+    }
+    while (target.running < target.slots && !target.queue.empty()) {
+      const std::uint64_t next = target.queue.front();
+      target.queue.pop_front();
+      StartWork(next);
+    }
+  }
+
+  void SendAnswer(std::uint64_t key, bool shed) {
+    const server_call& made = calls_.at(key);
+    const server_model& target = servers[made.server];
+    call_result result = shed ? forwarding_fixture::Failed(base::error_kind::kBackendShed, base::executed_state::kNo)
+                              : forwarding_fixture::Served("x");
+    if (rules.reports_load) {
+      server_load report;
+      // As the server sees it while it answers, the call itself included.
+      report.running = target.running + (shed ? 0 : 1);
+      report.waiting = static_cast<std::uint32_t>(target.queue.size());
+      report.slots = target.slots;
+      result.load = report;
+    }
+    At(now + Distance(made.instance, made.server), [this, key, result] { DeliverResult(key, result); });
+  }
+
+  void DeliverResult(std::uint64_t key, const call_result& result) {
+    const auto found = calls_.find(key);
+    if (found == calls_.end()) return;
+    const std::size_t i = found->second.instance;
+    const call_id id = found->second.id;
+    calls_.erase(found);
+    by_id_.erase({i, id.value});
+    forwarding_fixture& fixture = *instances[i];
+    fixture.now = now;
+    instance::context ctx = fixture.Context();
+    HandleCallEnded(fixture.tables, ctx, {id, result});
+    Execute(i);
+  }
+
+  /// Ends a call on the instance's side. The server stops its work when it sees the closed connection.
+  void EndCall(std::uint64_t key, base::error_kind reason) {
+    const auto found = calls_.find(key);
+    if (found == calls_.end()) return;
+    LeaveServer(key);
+    DeliverResult(key, forwarding_fixture::Failed(reason, base::executed_state::kUnknown));
+  }
+
+  void CancelServerCall(std::size_t i, call_id id) {
+    const auto found = by_id_.find({i, id.value});
+    if (found == by_id_.end()) return;
+    const std::uint64_t key = found->second;
+    At(now, [this, key] { EndCall(key, base::error_kind::kCancelled); });
+  }
+
+  void Reply(base::reply_handle handle, const answer& reply) {
+    const std::uint64_t id = handles_.at(handle.value);
+    const base::time_point replied = now;
+    if (reply.failure.has_value() && reply.executed == base::executed_state::kNo) {
+      const caller& sender = callers_.at(id);
+      refusals.push_back(
+          {replied - sender.sent - rules.to_callers, reply.executed, sender.calls > 0, kinds[sender.kind].priority});
+    }
+    At(now + rules.to_callers, [this, id, reply] { Receive(id, reply); });
+  }
+
+  void Receive(std::uint64_t id, const answer& reply) {
+    caller& to = callers_.at(id);
+    const load_kind& kind = kinds[to.kind];
+    if (!reply.failure.has_value()) {
+      to.ended = true;
+      to.outcome = now - to.sent <= kind.target ? caller_outcome::kInTime : caller_outcome::kLate;
+      return;
+    }
+    const base::duration wait = rules.repeats_at_once ? base::duration{0} : reply.retry_after.value_or(milliseconds(0));
+    const bool repeats = to.attempts <= rules.caller_retries && now < to.deadline &&
+                         (rules.repeats_at_once || wait <= (to.deadline - now) / 3) &&
+                         (reply.executed == base::executed_state::kNo || kind.repeat == repeat_policy::kIdempotent);
+    if (repeats) {
+      At(now + wait, [this, id] { Send(id); });
+      return;
+    }
+    to.ended = true;
+    if (reply.failure->kind == base::error_kind::kDeadlineExceeded) {
+      to.outcome = caller_outcome::kTimedOut;
+    } else {
+      to.outcome = reply.executed == base::executed_state::kNo ? caller_outcome::kRefused : caller_outcome::kFailed;
+    }
+  }
+
+  base::random_source random_{1};
+  std::priority_queue<event> events_;
+  std::uint64_t order_ = 0;
+  std::unordered_map<std::string, std::size_t> index_;
+  std::map<std::uint64_t, caller> callers_;
+  std::unordered_map<std::uint64_t, std::uint64_t> handles_;
+  std::unordered_map<std::uint64_t, server_call> calls_;
+  std::map<std::pair<std::size_t, std::uint64_t>, std::uint64_t> by_id_;
+  std::uint64_t next_caller_ = 0;
+  std::uint64_t next_target_ = 0;
+  std::uint64_t next_handle_ = 0;
+  std::uint64_t next_server_call_ = 0;
+};
+
+/// Kinds 1 and 2 of deployment A on sharded routes.
+inline load_kind HeavyKind(std::size_t shards = 36) {
+  load_kind kind{"heavy", 63, milliseconds(20), milliseconds(200), milliseconds(800), 1};
+  kind.shards = shards;
+  kind.coverage = 0.95;
+  return kind;
+}
+inline load_kind UrgentKind(std::size_t shards = 36) {
+  load_kind kind{"urgent", 36.4, std::chrono::microseconds(6'700), milliseconds(50), milliseconds(400), 0};
+  kind.shards = shards;
+  kind.coverage = 0.85;
+  return kind;
+}
+/// Kind 3 of deployment B.
+inline load_kind SlowKind() { return {"slow", 26.4, milliseconds(120), milliseconds(500), milliseconds(8'000), 2}; }
+/// The services of a sharded index.
+inline std::vector<load_service> ShardServices(std::size_t shards, std::uint32_t slots = 4) {
+  std::vector<load_service> services;
+  for (std::size_t i = 0; i < shards; ++i)
+    services.push_back({"shard" + std::to_string(i), 3, slots});
+  return services;
+}
+
+}  // namespace limpetrouter::core::forwarding
