Keep waiting parts in an ordered queue of their service

DispatchWaitingParts scanned all parts of all requests at the end of each call, so that a call cost more the more requests were active. A queue for each service now holds them in the same order (priority, then arrival), and the end of a call visits only the queue of the service whose server became free. A tick still visits every waiting part that was sent before, because its servers may have become unusable.

--- a/core/forwarding/relay.cc
+++ b/core/forwarding/relay.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "core/forwarding/admission.h"
 #include "core/forwarding/answers.h"
 #include "core/forwarding/request_calls.h"
 #include "core/forwarding/request_outcome.h"
@@ -148,7 +149,7 @@
   tables.relays.emplace(token, handle);
   for (request_part& part : request.parts) {
     part.failed = false;
-    part.waiting = false;
+    Dequeue(tables, part);
     part.held = false;
     LetCallsLinger(tables, ctx, part);
   }
--- a/core/forwarding/request_calls.cc
+++ b/core/forwarding/request_calls.cc
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include "core/forwarding/admission.h"
 #include "core/forwarding/crash_suspects.h"
 #include "core/forwarding/rate_limit.h"
 #include "core/forwarding/request_outcome.h"
@@ -103,7 +104,7 @@
   const call_id id(tables.next_call++);
   part.calls.push_back(id);
   part.tried.push_back(chosen.server);
-  part.waiting = false;
+  Dequeue(tables, part);
   ++part.attempts;
   ++request.calls;
   call started;
@@ -145,13 +146,13 @@
       StartCall(tables, ctx, handle, request, index, chosen, purpose);
       break;
     case choice_state::kFull:
-      part.waiting = true;
+      Enqueue(tables, handle, request, index);
       break;
     case choice_state::kLimited:
       request.last_failure = base::error_kind::kOverloaded;
       [[fallthrough]];
     case choice_state::kNone:
-      part.waiting = false;
+      Dequeue(tables, part);
       part.failed = true;
       break;
   }
--- a/core/forwarding/request_outcome.cc
+++ b/core/forwarding/request_outcome.cc
@@ -7,6 +7,7 @@
 
 #include <fmt/format.h>
 
+#include "core/forwarding/admission.h"
 #include "core/forwarding/answers.h"
 #include "core/forwarding/rate_limit.h"
 #include "core/forwarding/relay.h"
@@ -161,6 +162,7 @@
   CancelRelay(tables, ctx, request);
   SendAnswer(tables, ctx, handle, request, std::move(reply));
   ReleaseCalls(tables, ctx, request);
+  DequeueAll(tables, request);
   tables.requests.erase(found);
 }
 
--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -17,6 +17,7 @@
 #include "core/forwarding/store_reader.h"
 #include "core/routing/call_budget.h"
 #include "core/routing/latency_window.h"
+#include "core/routing/request_queue.h"
 
 namespace limpetrouter::core::forwarding {
 
@@ -64,6 +65,8 @@
   bool failed = false;
   /// True if the part waits for free capacity at a backend server.
   bool waiting = false;
+  /// Place in the queue of the service, if the part waits.
+  routing::queue_position position;
   /// True if the part is sent only once another part has been answered, because the request may crash its servers.
   bool held = false;
   /// No hedge is considered before this time, because the last one found no budget or no free slot.
@@ -205,6 +208,8 @@
   /// Latency of successful calls by route name, from the start of the call to its answer.
   std::map<std::string, routing::latency_window> latency;
   std::map<std::string, round_robin_state> round_robin;
+  /// Parts that wait for a server, by service.
+  std::map<base::service_id, routing::request_queue> queues;
   /// Budgets of repeated sends by service.
   std::map<base::service_id, routing::call_budget> budgets;
   /// Largest number of instances seen recently, which the budgets are divided by, and the time from which a smaller
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "core/base/digest.h"
+#include "core/forwarding/admission.h"
 #include "core/forwarding/answers.h"
 #include "core/forwarding/crash_suspects.h"
 #include "core/forwarding/rate_limit.h"
@@ -140,37 +141,33 @@
   HedgeParts(tables, ctx, handle, request);
 }
 
-/// Dispatches waiting parts to servers with free capacity, the most urgent and oldest requests first.
-void DispatchWaitingParts(forwarding_tables& tables, instance::context& ctx) {
-  std::vector<base::reply_handle> order;
-  for (const auto& [handle, request] : tables.requests) {
-    const bool is_waiting =
-        std::any_of(request.parts.begin(), request.parts.end(), [](const request_part& part) { return part.waiting; });
-    if (is_waiting) order.push_back(handle);
-  }
-  std::stable_sort(order.begin(), order.end(), [&tables](base::reply_handle a, base::reply_handle b) {
-    return tables.requests.at(a).route->priority < tables.requests.at(b).route->priority;
-  });
-  for (const base::reply_handle handle : order) {
-    active_request& request = tables.requests.at(handle);
-    for (std::size_t i = 0; i < request.parts.size(); ++i) {
-      if (!request.parts[i].waiting) continue;
-      DispatchPart(tables, ctx, handle, request, i,
-                   request.parts[i].attempts == 0 ? send_purpose::kFirst : send_purpose::kRetry);
+/// Dispatches parts that wait for the service to servers with free capacity, in the order of the queue. Once a part
+/// finds no free server, neither do those behind it. `complete` also visits those that were sent before, because all
+/// servers that remain for them may have become unusable.
+void DispatchWaitingParts(forwarding_tables& tables, instance::context& ctx, const base::service_id& service,
+                          bool complete) {
+  const auto found = tables.queues.find(service);
+  if (found == tables.queues.end()) return;
+  const auto& waiting = found->second.parts;
+  bool full = false;
+  for (auto next = waiting.begin(); next != waiting.end();) {
+    const routing::queue_position position = *next;
+    active_request& request = tables.requests.at(position.request);
+    request_part& part = request.parts[position.part];
+    if (!full || !part.tried.empty()) {
+      DispatchPart(tables, ctx, position.request, request, position.part,
+                   part.attempts == 0 ? send_purpose::kFirst : send_purpose::kRetry);
+      full = full || (part.waiting && part.tried.empty());
+      if (part.failed) CheckProgress(tables, ctx, position.request);
     }
-    CheckProgress(tables, ctx, handle);
+    if (full && !complete) return;
+    next = waiting.upper_bound(position);
   }
 }
 
-/// Returns the number of parts that wait for a server of the service, over all requests.
-std::size_t CountWaitingParts(const forwarding_tables& tables, const base::service_id& service) {
-  std::size_t waiting = 0;
-  for (const auto& [handle, request] : tables.requests) {
-    for (const request_part& part : request.parts) {
-      if (part.waiting && part.service == service) ++waiting;
-    }
-  }
-  return waiting;
+void DispatchWaitingParts(forwarding_tables& tables, instance::context& ctx) {
+  for (const auto& [service, queue] : tables.queues)
+    DispatchWaitingParts(tables, ctx, service, true);
 }
 
 /// Refuses a request that would still wait at its deadline. Returns true if the request was refused.
@@ -180,7 +177,7 @@
   const base::service_id& service = request.parts.front().service;
   const auto capacity = static_cast<base::duration::rep>(MaxRunning(tables, request, service) *
                                                          ServersOf(tables.servers, service).size());
-  const auto ahead = static_cast<base::duration::rep>(CountWaitingParts(tables, service));
+  const auto ahead = static_cast<base::duration::rep>(tables.queues[service].parts.size());
   const base::duration typical = TypicalLatency(tables, *request.route);
   const base::duration wait = typical * ahead / std::max<base::duration::rep>(capacity, 1);
   if (ctx.now + wait + typical < request.deadline) return false;
@@ -275,7 +272,7 @@
     if (added.counted) CountRequest(tables, part.service, ctx.now);
     const choice chosen = Choose(tables, ctx, added, part, false);
     part.failed = chosen.state == choice_state::kNone || chosen.state == choice_state::kLimited;
-    part.waiting = chosen.state == choice_state::kFull;
+    if (chosen.state == choice_state::kFull) Enqueue(tables, handle, added, choices.size());
     if (chosen.state == choice_state::kLimited) added.last_failure = error_kind::kOverloaded;
     possible += part.failed ? 0 : 1;
     choices.push_back(chosen);
@@ -302,6 +299,7 @@
   LogRequest(tables.history, ctx, found->second.content->attempt, "abandoned",
              {{"route", found->second.route->name}, {"calls", std::to_string(found->second.calls)}});
   ReleaseCalls(tables, ctx, found->second);
+  DequeueAll(tables, found->second);
   tables.requests.erase(found);
 }
 
@@ -315,13 +313,16 @@
   if (found == tables.calls.end()) return;
   const call ended = found->second;
   tables.calls.erase(found);
+  const auto called = tables.servers.servers.find(ended.server);
+  const base::service_id service =
+      called == tables.servers.servers.end() ? base::service_id{} : called->second.record.service;
   tables.call_thread_load = event.result.call_thread_load;
   tables.call_thread_load_at = ctx.now;
   NoteServerResult(tables, ctx, event.call, ended, event.result);
   NoteContact(tables, ctx, ended, event.result);
   const auto active = tables.requests.find(ended.request);
   if (active == tables.requests.end()) {
-    DispatchWaitingParts(tables, ctx);
+    DispatchWaitingParts(tables, ctx, service, false);
     return;
   }
   active_request& request = active->second;
@@ -345,7 +346,7 @@
   if (part.result.has_value()) LetCallsLinger(tables, ctx, part);
   ResumeHeldParts(tables, ctx, ended.request, request);
   CheckProgress(tables, ctx, ended.request);
-  DispatchWaitingParts(tables, ctx);
+  DispatchWaitingParts(tables, ctx, service, false);
 }
 
 void RunRequests(forwarding_tables& tables, instance::context& ctx) {
