--- a/core/forwarding/request_calls.cc
+++ b/core/forwarding/request_calls.cc
@@ -49,7 +49,7 @@
                std::size_t index, base::duration delay) {
   request_part& part = request.parts[index];
   if (part.result.has_value() || part.calls.size() != 1 || part.attempts >= request.max_attempts) return;
-  if (ctx.now < part.next_hedge || MayCrashServers(request)) return;
+  if (ctx.now < part.next_hedge || MayCrashServers(request) || HasWaitingParts(tables, part.service)) return;
   const call& running = tables.calls.at(part.calls.front());
   if (ctx.now - running.started < delay) return;
   const choice chosen = Choose(tables, ctx, request, part, true);
@@ -91,6 +91,7 @@
   choice_rules rules;
   rules.own_data_centre = ctx.members.self.data_centre;
   rules.max_running = MaxRunning(tables, request, part.service);
+  rules.max_work = WorkLimit(tables, request, part.service, ctx.now);
   rules.is_hedge = hedge;
   rules.avoid_probation = !IsIdempotent(request);
   rules.excluded = &part.tried;
@@ -146,7 +147,7 @@
       StartCall(tables, ctx, handle, request, index, chosen, purpose);
       break;
     case choice_state::kFull:
-      Enqueue(tables, handle, request, index);
+      Enqueue(tables, handle, request, index, ctx.now);
       break;
     case choice_state::kLimited:
       request.last_failure = base::error_kind::kOverloaded;
@@ -162,7 +163,9 @@
                   std::size_t index, bool reached_server) {
   request_part& part = request.parts[index];
   if (!part.calls.empty() || part.failed || part.held || request.relay.has_value()) return;
-  const bool retry = MayRetry(ctx, request, part) && ctx.now + kAnswerMargin < request.deadline &&
+  // A repeated send would delay parts that wait to be sent first.
+  const bool gives_way = reached_server && request.late && HasWaitingParts(tables, part.service);
+  const bool retry = !gives_way && MayRetry(ctx, request, part) && ctx.now + kAnswerMargin < request.deadline &&
                      (!reached_server || TrySpendRetryBudget(tables, part.service, extra_call_kind::kRetry, ctx.now));
   if (!retry) {
     part.failed = true;
--- a/core/forwarding/request_outcome.cc
+++ b/core/forwarding/request_outcome.cc
@@ -166,6 +166,10 @@
   tables.requests.erase(found);
 }
 
+void FailRequest(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle, base::error_kind kind) {
+  FinishRequest(tables, ctx, handle, MakeRequestFailure(tables, tables.requests.at(handle), kind, ctx.now));
+}
+
 void StopRequest(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle) {
   active_request& request = tables.requests.at(handle);
   if (IsSharded(request) && ReachesCoverage(ProgressOf(request).answered, request))
--- a/core/forwarding/request_outcome.h
+++ b/core/forwarding/request_outcome.h
@@ -31,6 +31,8 @@
 bool CheckProgress(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle);
 /// Answers and ends the request.
 void FinishRequest(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle, answer reply);
+/// Ends a request that got no answer.
+void FailRequest(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle, base::error_kind kind);
 /// Marks the part's calls as no longer needed. They are cancelled after a period in which they may end by themselves.
 void LetCallsLinger(forwarding_tables& tables, const instance::context& ctx, const request_part& part);
 /// Marks all calls of a request as no longer needed, unless the request must not be repeated.
--- a/core/forwarding/request_table.h
+++ b/core/forwarding/request_table.h
@@ -98,6 +98,8 @@
   base::error_kind last_failure = base::error_kind::kNoUsableReplica;
   /// The request may crash the servers that run it, so that it has one call at a time until one is answered.
   bool cautious = false;
+  /// The request can no longer be answered within its target, so that its parts wait behind those that can.
+  bool late = false;
   /// Number of calls that lost their connection.
   std::uint32_t lost_calls = 0;
   std::uint32_t calls = 0;
@@ -210,6 +212,8 @@
   std::map<std::string, round_robin_state> round_robin;
   /// Parts that wait for a server, by service.
   std::map<base::service_id, routing::request_queue> queues;
+  /// Requests that were refused because of the load, by reason.
+  std::map<std::string, std::uint64_t> refused;
   /// Budgets of repeated sends by service.
   std::map<base::service_id, routing::call_budget> budgets;
   /// Largest number of instances seen recently, which the budgets are divided by, and the time from which a smaller
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -170,22 +170,16 @@
     DispatchWaitingParts(tables, ctx, service, true);
 }
 
-/// Refuses a request that would still wait at its deadline. Returns true if the request was refused.
-bool RefuseIfQueueTooLong(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle) {
-  active_request& request = tables.requests.at(handle);
-  if (IsSharded(request) || !request.parts.front().waiting) return false;
-  const base::service_id& service = request.parts.front().service;
-  const auto capacity = static_cast<base::duration::rep>(MaxRunning(tables, request, service) *
-                                                         ServersOf(tables.servers, service).size());
-  const auto ahead = static_cast<base::duration::rep>(tables.queues[service].parts.size());
-  const base::duration typical = TypicalLatency(tables, *request.route);
-  const base::duration wait = typical * ahead / std::max<base::duration::rep>(capacity, 1);
-  if (ctx.now + wait + typical < request.deadline) return false;
-  FinishRequest(
-      tables, ctx, handle,
-      MakeFailure({error_kind::kOverloaded, fmt::format("{} requests wait for service {}", ahead, service.value)},
-                  executed_state::kNo, std::min(wait, kMaxRetryAfter)));
-  return true;
+/// Calls `visit` for each active request. It may end requests.
+template <class Visit>
+void ForEachRequest(const forwarding_tables& tables, Visit visit) {
+  std::vector<base::reply_handle> handles;
+  handles.reserve(tables.requests.size());
+  for (const auto& [handle, request] : tables.requests)
+    handles.push_back(handle);
+  for (const base::reply_handle handle : handles) {
+    if (tables.requests.contains(handle)) visit(handle);
+  }
 }
 
 /// True if the process is about to end before such a request is answered, in all likelihood. The caller still has the
@@ -270,9 +264,11 @@
   std::size_t possible = 0;
   for (request_part& part : added.parts) {
     if (added.counted) CountRequest(tables, part.service, ctx.now);
-    const choice chosen = Choose(tables, ctx, added, part, false);
+    choice chosen;
+    chosen.state = choice_state::kFull;
+    if (!HasPartsAhead(tables, added, part.service)) chosen = Choose(tables, ctx, added, part, false);
     part.failed = chosen.state == choice_state::kNone || chosen.state == choice_state::kLimited;
-    if (chosen.state == choice_state::kFull) Enqueue(tables, handle, added, choices.size());
+    if (chosen.state == choice_state::kFull) Enqueue(tables, handle, added, choices.size(), ctx.now);
     if (chosen.state == choice_state::kLimited) added.last_failure = error_kind::kOverloaded;
     possible += part.failed ? 0 : 1;
     choices.push_back(chosen);
@@ -281,7 +277,10 @@
     CheckProgress(tables, ctx, handle);
     return;
   }
+  if (!AdmitRequest(tables, ctx, handle)) return;
+  std::vector<base::service_id> waited_for;
   for (std::size_t i = 0; i < added.parts.size(); ++i) {
+    if (added.parts[i].waiting) waited_for.push_back(added.parts[i].service);
     if (choices[i].state != choice_state::kChosen) continue;
     if (added.cautious && added.calls > 0) {
       added.parts[i].held = true;
@@ -289,7 +288,9 @@
     }
     StartCall(tables, ctx, handle, added, i, choices[i], send_purpose::kFirst);
   }
-  if (!RefuseIfQueueTooLong(tables, ctx, handle)) CheckProgress(tables, ctx, handle);
+  for (const base::service_id& service : waited_for)
+    DispatchWaitingParts(tables, ctx, service, false);
+  CheckProgress(tables, ctx, handle);
 }
 
 void AbandonRequest(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle) {
@@ -320,6 +321,7 @@
   tables.call_thread_load_at = ctx.now;
   NoteServerResult(tables, ctx, event.call, ended, event.result);
   NoteContact(tables, ctx, ended, event.result);
+  if (IsSuccess(event.result)) NoteServedCall(tables, service, ctx.now - ended.started, ctx.now);
   const auto active = tables.requests.find(ended.request);
   if (active == tables.requests.end()) {
     DispatchWaitingParts(tables, ctx, service, false);
@@ -353,14 +355,10 @@
   for (auto& [name, window] : tables.latency)
     routing::RefreshSummary(window, 0, ctx.now);
   RelayUnanswered(tables, ctx);
+  ForEachRequest(tables, [&](base::reply_handle handle) { ReviewRequest(tables, ctx, handle); });
+  DisplaceRequests(tables, ctx);
   DispatchWaitingParts(tables, ctx);
-  std::vector<base::reply_handle> handles;
-  handles.reserve(tables.requests.size());
-  for (const auto& [handle, request] : tables.requests)
-    handles.push_back(handle);
-  for (const base::reply_handle handle : handles) {
-    if (tables.requests.contains(handle)) AdvanceRequest(tables, ctx, handle);
-  }
+  ForEachRequest(tables, [&](base::reply_handle handle) { AdvanceRequest(tables, ctx, handle); });
   for (auto& [id, running] : tables.calls) {
     if (!running.lingers_until.has_value() || ctx.now < *running.lingers_until) continue;
     running.lingers_until = base::time_point::max();
--- a/shell/metrics.cc
+++ b/shell/metrics.cc
@@ -10,6 +10,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include "core/forwarding/admission.h"
 #include "core/membership/member_change.h"
 
 namespace limpetrouter::shell {
@@ -120,6 +121,16 @@
                        .Register(registry)
                        .Add({});
 
+  Gauge& waiting_parts = prometheus::BuildGauge()
+                             .Name("limpetrouter_waiting_parts")
+                             .Help("Parts of forwarded requests that wait for a backend server.")
+                             .Register(registry)
+                             .Add({});
+  prometheus::Family<Counter>& refused = prometheus::BuildCounter()
+                                             .Name("limpetrouter_refused_total")
+                                             .Help("Forwarded requests refused because of the load, by reason.")
+                                             .Register(registry);
+
   /// The counters of `peer_bytes` by direction and plane. They are looked up once, because messages are frequent.
   std::array<std::array<Counter*, 2>, 2> bytes_by_plane{};
 
@@ -135,6 +146,8 @@
     // These series exist from the start, so that a rate over them begins at 0.
     for (const char* decision : {"hedge", "retry", "refuse", "route"})
       Labelled(decisions, "decision", decision);
+    for (const char* reason : {"wait", "late", "displaced", "deadline"})
+      Labelled(refused, "reason", reason);
     Labelled(queries, "outcome", "ok");
     Labelled(backend_calls, "outcome", "ok");
   }
@@ -220,6 +233,11 @@
     impl_->revision.Set(configuration == nullptr ? 0 : static_cast<double>(configuration->revision.value));
   }
   impl_->leaving.Set(instance.leaving ? 1 : 0);
+  impl_->waiting_parts.Set(static_cast<double>(core::forwarding::CountWaitingParts(instance.forwarding)));
+  for (const auto& [reason, total] : instance.forwarding.refused) {
+    Counter& counter = Labelled(impl_->refused, "reason", reason);
+    counter.Increment(static_cast<double>(total) - counter.Value());
+  }
 }
 
 std::string metrics::Text() const { return prometheus::TextSerializer().Serialize(impl_->registry.Collect()); }
--- a/tests/core/forwarding/load_world.h
+++ b/tests/core/forwarding/load_world.h
@@ -92,9 +92,10 @@
   };
   struct refusal {
     base::duration after{};
-    base::executed_state executed{};
-    bool sent_anything = false;
-    std::uint32_t priority = 0;
+    base::error_kind kind{};
+    /// Calls that were sent, and those of them that a server began to run.
+    std::size_t sent = 0;
+    std::size_t run = 0;
   };
 
   load_rules rules;
@@ -105,6 +106,11 @@
   double load = 1;
   base::time_point now{seconds(1'000)};
   std::size_t calls = 0;
+  /// Requests that were admitted to be answered in time after a more urgent one was refused, while the instance had
+  /// learned nothing new.
+  std::size_t overtaken = 0;
+  /// Most calls that an instance had at a server at a time, relative to the slots of the server.
+  double most_calls = 0;
 
   load_world(load_rules with_rules, std::vector<load_kind> with_kinds, const std::vector<load_service>& services)
       : rules(with_rules), kinds(std::move(with_kinds)) {
@@ -136,6 +142,21 @@
       servers[i].slow = factor;
   }
 
+  /// Ends or starts the processes of a data centre's servers. The calls of a process that ends are lost.
+  void SetDown(const std::string& data_centre, bool down) {
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+      if (servers[i].data_centre != data_centre) continue;
+      servers[i].down = down;
+      std::vector<std::uint64_t> lost;
+      for (const auto& [key, made] : calls_) {
+        if (down && made.server == i && made.reached) lost.push_back(key);
+      }
+      std::sort(lost.begin(), lost.end());
+      for (const std::uint64_t key : lost)
+        EndCall(key, base::error_kind::kConnectionLost);
+    }
+  }
+
   /// Returns what became of the requests that callers first sent in [from, to).
   kind_counts Counts(base::time_point from, base::time_point to, const std::string& kind = "") const {
     kind_counts counts;
@@ -168,6 +189,7 @@
     std::size_t instance = 0;
     int attempts = 0;
     std::size_t calls = 0;
+    std::size_t run = 0;
     bool ended = false;
     caller_outcome outcome = caller_outcome::kFailed;
   };
@@ -175,10 +197,10 @@
     std::size_t instance = 0;
     call_id id;
     std::size_t server = 0;
+    std::uint64_t caller = 0;
     base::duration work{};
+    bool reached = false;
     bool running = false;
-    bool finished = false;
-    bool answered = false;
   };
 
   void At(base::time_point at, std::function<void()> run) { events_.push({at, ++order_, std::move(run)}); }
@@ -258,6 +280,7 @@
   void Tick(std::size_t i) {
     forwarding_fixture& fixture = *instances[i];
     fixture.now = now;
+    refused_priority_.erase(i);
     instance::context ctx = fixture.Context();
     RunRequests(fixture.tables, ctx);
     Execute(i);
@@ -279,6 +302,7 @@
     from.sent = now;
     ++from.attempts;
     from.calls = 0;
+    from.run = 0;
     do {
       from.instance = base::NextBelow(random_, instances.size());
     } while (rules.one_data_centre && from.instance % 3 != 0);
@@ -299,6 +323,11 @@
       handles_[next_handle_] = id;
       instance::context ctx = fixture.Context();
       AcceptRequest(fixture.tables, ctx, {handle, content});
+      const auto active = fixture.tables.requests.find(handle);
+      const auto refused = refused_priority_.find(sender.instance);
+      if (active != fixture.tables.requests.end() && !active->second.late && refused != refused_priority_.end() &&
+          refused->second < kind.priority)
+        ++overtaken;
       Execute(sender.instance);
     });
   }
@@ -321,12 +350,15 @@
 
   void StartServerCall(std::size_t i, const io::start_call& start) {
     ++calls;
+    const server& target = instances[i]->tables.servers.servers.at(start.server);
+    most_calls = std::max(most_calls, static_cast<double>(target.running.size()) / target.record.slots);
     const std::uint64_t key = ++next_server_call_;
     server_call& made = calls_[key];
     made.instance = i;
     made.id = start.call;
     made.server = index_.at(start.server.value);
     const std::uint64_t caller_id = std::stoull(start.request->attempt);
+    made.caller = caller_id;
     caller& sender = callers_.at(caller_id);
     ++sender.calls;
     made.work =
@@ -340,7 +372,13 @@
     const auto found = calls_.find(key);
     if (found == calls_.end()) return;
     server_model& target = servers[found->second.server];
-    if (target.down) return;
+    if (target.down) {
+      call_result refused = forwarding_fixture::Failed(base::error_kind::kConnectFailed, base::executed_state::kNo);
+      At(now + Distance(found->second.instance, found->second.server),
+         [this, key, refused] { DeliverResult(key, refused); });
+      return;
+    }
+    found->second.reached = true;
     if (target.running < target.slots) {
       StartWork(key);
     } else if (target.queue.size() < rules.queue) {
@@ -377,6 +415,7 @@
     ++target.running;
     ++target.started_calls;
     made.running = true;
+    ++callers_.at(made.caller).run;
     const auto work =
         base::duration(static_cast<std::int64_t>(static_cast<double>(made.work.count()) * target.slow / target.speed));
     At(EndOfWork(target, work), [this, key] { FinishWork(key); });
@@ -431,6 +470,7 @@
     by_id_.erase({i, id.value});
     forwarding_fixture& fixture = *instances[i];
     fixture.now = now;
+    refused_priority_.erase(i);
     instance::context ctx = fixture.Context();
     HandleCallEnded(fixture.tables, ctx, {id, result});
     Execute(i);
@@ -456,8 +496,9 @@
     const base::time_point replied = now;
     if (reply.failure.has_value() && reply.executed == base::executed_state::kNo) {
       const caller& sender = callers_.at(id);
-      refusals.push_back(
-          {replied - sender.sent - rules.to_callers, reply.executed, sender.calls > 0, kinds[sender.kind].priority});
+      const auto [refused, added] = refused_priority_.try_emplace(sender.instance, kinds[sender.kind].priority);
+      refused->second = std::min(refused->second, kinds[sender.kind].priority);
+      refusals.push_back({replied - sender.sent - rules.to_callers, reply.failure->kind, sender.calls, sender.run});
     }
     At(now + rules.to_callers, [this, id, reply] { Receive(id, reply); });
   }
@@ -494,6 +535,8 @@
   std::unordered_map<std::uint64_t, std::uint64_t> handles_;
   std::unordered_map<std::uint64_t, server_call> calls_;
   std::map<std::pair<std::size_t, std::uint64_t>, std::uint64_t> by_id_;
+  /// Lowest priority value of the requests that an instance has refused since its last tick or ended call.
+  std::map<std::size_t, std::uint32_t> refused_priority_;
   std::uint64_t next_caller_ = 0;
   std::uint64_t next_target_ = 0;
   std::uint64_t next_handle_ = 0;
