--- a/core/forwarding/admission.cc
+++ b/core/forwarding/admission.cc
@@ -33,10 +33,18 @@
 constexpr double kMinCapacityShare = 0.02;
 /// Below this rate, in parts per second, more urgent requests do not count as present on a service.
 constexpr double kPresentRate = 1;
+/// A queue that has stood for this time is no short interruption: a pause of servers of 200 ms and the work that it
+/// delays are over by then. From then on, late requests get only what the requests in time leave.
+constexpr base::duration kStandingTime = milliseconds(500);
+/// Late requests are admitted if they are expected to wait at most for the time left divided by this, because what the
+/// requests in time leave varies.
+constexpr int kLateWaitDivisor = 2;
 /// Work limits of a server, in multiples of its slots. Less urgent calls that queue inside the server would delay the
 /// urgent ones behind them, as the server takes its queue in order of arrival.
 constexpr double kWorkLimit = 2;
-constexpr double kLessUrgentWorkLimit = 1;
+constexpr double kLeastWorkLimit = 1;
+/// Late calls take at most this share of the slots while others can be answered in time, so that these find free ones.
+constexpr double kLateWorkLimit = 0.5;
 
 /// How a class of parts is served by a service.
 struct service_outlook {
@@ -146,12 +154,12 @@
 bool HasRoomForLate(const forwarding_tables& tables, const active_request& request, base::time_point now) {
   const expected_wait expected = ExpectedWait(tables, request, {true, request.route->priority}, now);
   if (expected.outlook.rate <= 0) return true;
-  const bool standing = now - WaitingSince(tables, request, now) > request.route->timeout;
+  const bool standing = now - WaitingSince(tables, request, now) > kStandingTime;
   const double rate = standing ? expected.outlook.available : expected.outlook.rate;
   if (standing && rate <= kMinCapacityShare * expected.outlook.rate) return false;
   const auto wait = base::duration(
       static_cast<std::int64_t>(static_cast<double>(expected.outlook.ahead) * 1e6 / std::max(rate, 1e-3)));
-  return now + wait + ExpectedCallTime(tables, request) <= LastUseOf(request);
+  return now + kLateWaitDivisor * wait + ExpectedCallTime(tables, request) <= LastUseOf(request);
 }
 
 void SetLate(forwarding_tables& tables, active_request& request, base::time_point now) {
@@ -221,6 +229,17 @@
          now + expected.wait + ExpectedCallTime(tables, request) <= TargetOf(request);
 }
 
+/// Returns how long the calls of the more urgent routes may queue inside a server without missing their targets.
+double UrgentSlackUs(const forwarding_tables& tables, std::uint32_t priority) {
+  base::duration least = base::duration::max();
+  for (const route& each : tables.routing->routes) {
+    if (each.priority >= priority) continue;
+    const base::duration call = std::min(TypicalLatency(tables, each), each.target_latency / kCallTimeDivisor);
+    least = std::min(least, each.target_latency - kDeliveryMargin - call);
+  }
+  return static_cast<double>(least.count());
+}
+
 bool IsAnyPartWaiting(const active_request& request) {
   return std::any_of(request.parts.begin(), request.parts.end(), [](const request_part& part) { return part.waiting; });
 }
@@ -307,7 +326,9 @@
       const base::reply_handle handle = std::prev(late)->request;
       const active_request& request = tables.requests.at(handle);
       if (request.calls > 0 || kept.contains(handle)) break;
-      if (IsExpectedInTime(tables, request, ctx.now)) {
+      // The expected wait varies, so that a request that was admitted is kept while it may still be sent in time.
+      const expected_wait expected = ExpectedWait(tables, request, {false, request.route->priority}, ctx.now);
+      if (ctx.now + expected.wait <= TargetOf(request)) {
         kept.insert(handle);
         break;
       }
@@ -321,7 +342,10 @@
   const auto found = tables.queues.find(service);
   if (found == tables.queues.end()) return kWorkLimit;
   const double urgent = routing::RateBefore(found->second, {request.late, request.route->priority}, now);
-  return urgent < kPresentRate ? kWorkLimit : kLessUrgentWorkLimit;
+  if (urgent < kPresentRate) return kWorkLimit;
+  if (request.late) return kLateWorkLimit;
+  return std::clamp(UrgentSlackUs(tables, request.route->priority) / std::max(found->second.call_time_us, 1.0),
+                    kLeastWorkLimit, kWorkLimit);
 }
 
 void NoteServedCall(forwarding_tables& tables, const base::service_id& service, base::duration time,
--- a/core/forwarding/server_choice.cc
+++ b/core/forwarding/server_choice.cc
@@ -40,6 +40,12 @@
 constexpr base::duration kRecentlyServed = milliseconds(2'000);
 /// No further connection to a server at its connection limit is tried for this time.
 constexpr base::duration kConnectionLimitTime = milliseconds(500);
+/// A server that served calls for this time without a load report does not report its load.
+constexpr base::duration kReportGap = milliseconds(1'000);
+/// Calls that take this multiple of the typical time wait in a queue as long as they run. A server that is full sheds
+/// calls, which count as failures.
+constexpr double kHiddenWorkSlowness = 2;
+constexpr double kHiddenWorkFailures = 0.05;
 constexpr base::duration kMaxEjection = milliseconds(3'000);
 
 double Decay(base::time_point since, base::time_point now, double lifetime_us) {
@@ -87,6 +93,17 @@
   return std::find(excluded.begin(), excluded.end(), each.record.id) == excluded.end();
 }
 
+/// True if the server reports no load, and its calls show that it has more work than this instance knows of.
+bool HasHiddenWork(const server& each, base::time_point now) {
+  if (each.served_at - each.load_at <= kReportGap) return false;
+  return SlownessOf(each, now) > kHiddenWorkSlowness || FailureShareOf(each, now) > kHiddenWorkFailures;
+}
+
+/// Returns this instance's share of the maximum work of a server whose other work is not known.
+double ShareOfWork(const server_table& table, const server& each, const choice_rules& rules) {
+  return std::max(1.0, std::ceil(table.limit_share * rules.max_work * each.record.slots));
+}
+
 void Eject(server& each, base::time_point now) {
   const base::duration time = kFirstEjection * (std::int64_t{1} << std::min<std::uint32_t>(each.ejections, 4));
   each.ejected_until = now + std::min(time, kMaxEjection);
@@ -127,7 +144,9 @@
     const std::size_t limit = each.connection_limit_until > now ? each.connection_limit : rules.max_running;
     const std::size_t max_calls =
         each.ejections > 0 || each.resumes ? 1 : std::min<std::size_t>(limit, rules.max_running);
-    const bool full = each.running.size() >= max_calls || EstimateWork(each, now) >= rules.max_work * each.record.slots;
+    const bool full = each.running.size() >= max_calls ||
+                      EstimateWork(each, now) >= rules.max_work * each.record.slots ||
+                      (HasHiddenWork(each, now) && each.running.size() >= ShareOfWork(table, each, rules));
     const bool busy = rules.is_hedge && (EstimateWork(each, now) >= each.record.slots || OverdueOf(each, now) > 0 ||
                                          each.limit.has_value());
     if (full || busy) {
