Merge admission control, in force only where a deployment calls for it

Without the policy, requests are admitted and ordered as before: by priority, then arrival, and only a plain request whose queue reaches beyond its deadline is refused.

--- a/core/forwarding/request_outcome.cc
+++ b/core/forwarding/request_outcome.cc
@@ -7,6 +7,7 @@
 
 #include <fmt/format.h>
 
+#include "core/forwarding/admission.h"
 #include "core/forwarding/answers.h"
 #include "core/forwarding/rate_limit.h"
 #include "core/forwarding/relay.h"
@@ -164,9 +165,14 @@
   CancelRelay(tables, ctx, request);
   SendAnswer(tables, ctx, handle, request, std::move(reply));
   ReleaseCalls(tables, ctx, request);
+  DequeueAll(tables, request);
   tables.requests.erase(found);
 }
 
+void FailRequest(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle, base::error_kind kind) {
+  FinishRequest(tables, ctx, handle, MakeRequestFailure(tables, tables.requests.at(handle), kind, ctx.now));
+}
+
 void StopRequest(forwarding_tables& tables, instance::context& ctx, base::reply_handle handle) {
   active_request& request = tables.requests.at(handle);
   if (IsSharded(request) && ReachesCoverage(ProgressOf(request).answered, request))
--- a/core/forwarding/server_choice.h
+++ b/core/forwarding/server_choice.h
@@ -16,6 +16,8 @@
   std::uint32_t max_running = 1;
   /// Maximum work of a server, in multiples of its slots. Further calls would wait there longer than is worthwhile.
   double max_work = 2;
+  /// True if a server that reports no load, and whose calls are slow or fail, gets this instance's share of `max_work`.
+  bool limit_hidden_work = false;
   /// True for a hedge: the server must have a free slot and must not have a rate limit.
   bool is_hedge = false;
   /// True if the call must not be lost, so that a server on probation after an ejection is the last resort.
