--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -321,7 +321,8 @@
   tables.call_thread_load_at = ctx.now;
   NoteServerResult(tables, ctx, event.call, ended, event.result);
   NoteContact(tables, ctx, ended, event.result);
-  if (IsSuccess(event.result)) NoteServedCall(tables, service, ctx.now - ended.started, ctx.now);
+  if (IsSuccess(event.result) && !service.value.empty())
+    NoteServedCall(tables, service, ctx.now - ended.started, ctx.now);
   const auto active = tables.requests.find(ended.request);
   if (active == tables.requests.end()) {
     DispatchWaitingParts(tables, ctx, service, false);
