--- a/tests/core/forwarding/admission_test.cc
+++ b/tests/core/forwarding/admission_test.cc
@@ -60,7 +60,7 @@
 
 /// True if a refused request did not run, and nothing of it was sent if admission control refused it. Servers that shed
 /// it got it and did not run it.
-bool IsTrue(const load_world::refusal& each) {
+bool IsTrue(const load_refusal& each) {
   return each.run == 0 && (each.kind != base::error_kind::kOverloaded || each.sent == 0);
 }
 
@@ -72,7 +72,7 @@
   CHECK(timed_out <= kMaxTimedOut * static_cast<double>(all.sent));
   std::size_t quick = 0;
   std::size_t untrue = 0;
-  for (const load_world::refusal& each : world.refusals) {
+  for (const load_refusal& each : world.refusals) {
     quick += each.after <= kRefusalTime ? 1 : 0;
     untrue += IsTrue(each) ? 0 : 1;
   }
@@ -273,7 +273,7 @@
   CHECK(world.Unended() == 0);
   CHECK(world.most_calls <= 2);
   CHECK(world.overtaken == 0);
-  for (const load_world::refusal& each : world.refusals) {
+  for (const load_refusal& each : world.refusals) {
     INFO("error " << ToString(each.kind) << ", sent " << each.sent << ", run " << each.run);
     CHECK(IsTrue(each));
   }
--- a/tests/core/forwarding/load_world.h
+++ b/tests/core/forwarding/load_world.h
@@ -3,106 +3,27 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <queue>
-#include <string>
 #include <tuple>
 #include <unordered_map>
 #include <utility>
-#include <vector>
 
-#include "forwarding_world.h"
+#include "load_model.h"
 
 namespace limpetrouter::core::forwarding {
 
-/// A class of requests, its load and what its callers need.
-struct load_kind {
-  std::string name;
-  /// Requests per second at the usual load.
-  double rate = 0;
-  base::duration work{};
-  base::duration target{};
-  base::duration deadline{};
-  std::uint32_t priority = 0;
-  /// Services of the request; a plain request has one service and no coverage.
-  std::size_t shards = 0;
-  double coverage = 1;
-  std::string service = "shard0";
-  repeat_policy repeat = repeat_policy::kIdempotent;
-};
-
-/// How the servers of a service behave.
-struct load_service {
-  std::string name;
-  std::size_t servers = 3;
-  std::uint32_t slots = 4;
-};
-
-struct load_rules {
-  base::duration pause_interval = milliseconds(4'500);
-  base::duration pause_length = milliseconds(200);
-  std::size_t queue = 24;
-  base::duration between_data_centres = std::chrono::microseconds(900);
-  base::duration within_data_centre = std::chrono::microseconds(150);
-  base::duration to_callers = milliseconds(1);
-  bool reports_load = true;
-  /// Attempts that a caller makes after the first one, and whether it repeats without regard to Retry-After.
-  int caller_retries = 1;
-  bool repeats_at_once = false;
-  std::size_t instances = 6;
-  /// Callers use only instances of data centre "a".
-  bool one_data_centre = false;
-  std::uint64_t seed = 1;
-};
-
-enum class caller_outcome : std::uint8_t { kInTime, kLate, kRefused, kTimedOut, kFailed };
-
-struct kind_counts {
-  std::size_t sent = 0;
-  std::map<caller_outcome, std::size_t> ended;
-  std::size_t Of(caller_outcome outcome) const {
-    const auto found = ended.find(outcome);
-    return found == ended.end() ? 0 : found->second;
-  }
-  std::size_t InTime() const { return Of(caller_outcome::kInTime); }
-  double InTimeShare() const { return sent == 0 ? 1 : static_cast<double>(InTime()) / static_cast<double>(sent); }
-};
-
 /// Simulates instances that share backend servers on a virtual clock. A server runs one call in each slot, queues a
 /// bounded number of further calls in order of arrival and sheds the rest.
 class load_world {
  public:
-  struct server_model {
-    base::backend_server_id id;
-    std::string data_centre;
-    std::uint32_t slots = 4;
-    double speed = 1;
-    /// Factor on the work of calls that start now; 1 is normal.
-    double slow = 1;
-    bool down = false;
-    base::duration pause_phase{};
-    std::deque<std::uint64_t> queue;
-    std::uint32_t running = 0;
-    std::size_t started_calls = 0;
-    std::size_t shed_calls = 0;
-    std::size_t most_work = 0;
-  };
-  struct refusal {
-    base::duration after{};
-    base::error_kind kind{};
-    /// Calls that were sent, and those of them that a server began to run.
-    std::size_t sent = 0;
-    std::size_t run = 0;
-  };
-
   load_rules rules;
   std::vector<load_kind> kinds;
   std::vector<std::unique_ptr<forwarding_fixture>> instances;
-  std::vector<server_model> servers;
-  std::vector<refusal> refusals;
+  std::vector<load_server> servers;
+  std::vector<load_refusal> refusals;
   double load = 1;
   base::time_point now{seconds(1'000)};
   std::size_t calls = 0;
@@ -181,29 +102,6 @@
     std::function<void()> run;
     friend bool operator<(const event& a, const event& b) { return std::tie(b.at, b.order) < std::tie(a.at, a.order); }
   };
-  struct caller {
-    std::size_t kind = 0;
-    base::time_point first_sent{};
-    base::time_point sent{};
-    base::time_point deadline{};
-    std::size_t instance = 0;
-    int attempts = 0;
-    std::size_t calls = 0;
-    std::size_t run = 0;
-    bool ended = false;
-    caller_outcome outcome = caller_outcome::kFailed;
-  };
-  struct server_call {
-    std::size_t instance = 0;
-    call_id id;
-    std::size_t server = 0;
-    std::uint64_t caller = 0;
-    int attempt = 0;
-    base::duration work{};
-    bool reached = false;
-    bool running = false;
-  };
-
   void At(base::time_point at, std::function<void()> run) { events_.push({at, ++order_, std::move(run)}); }
 
   base::duration NextGap(std::size_t kind) {
@@ -224,7 +122,7 @@
   void AddService(const load_service& service) {
     constexpr double kSpeeds[] = {0.8, 1.0, 1.3};
     for (std::size_t i = 0; i < service.servers; ++i) {
-      server_model model;
+      load_server model;
       model.id = base::backend_server_id(service.name + "-" + std::to_string(i));
       model.data_centre = std::string(1, static_cast<char>('a' + i % 3));
       model.slots = service.slots;
@@ -292,7 +190,7 @@
   void Arrive(std::size_t kind) {
     At(now + NextGap(kind), [this, kind] { Arrive(kind); });
     const std::uint64_t id = ++next_caller_;
-    caller& added = callers_[id];
+    load_caller& added = callers_[id];
     added.kind = kind;
     added.first_sent = now;
     added.deadline = now + kinds[kind].deadline;
@@ -300,7 +198,7 @@
   }
 
   void Send(std::uint64_t id) {
-    caller& from = callers_.at(id);
+    load_caller& from = callers_.at(id);
     from.sent = now;
     ++from.attempts;
     from.calls = 0;
@@ -309,7 +207,7 @@
       from.instance = base::NextBelow(random_, instances.size());
     } while (rules.one_data_centre && from.instance % 3 != 0);
     At(now + rules.to_callers, [this, id] {
-      const caller& sender = callers_.at(id);
+      const load_caller& sender = callers_.at(id);
       const load_kind& kind = kinds[sender.kind];
       forwarding_fixture& fixture = *instances[sender.instance];
       fixture.now = now;
@@ -355,13 +253,13 @@
     const server& target = instances[i]->tables.servers.servers.at(start.server);
     most_calls = std::max(most_calls, static_cast<double>(target.running.size()) / target.record.slots);
     const std::uint64_t key = ++next_server_call_;
-    server_call& made = calls_[key];
+    load_call& made = calls_[key];
     made.instance = i;
     made.id = start.call;
     made.server = index_.at(start.server.value);
     const std::uint64_t caller_id = std::stoull(start.request->attempt);
     made.caller = caller_id;
-    caller& sender = callers_.at(caller_id);
+    load_caller& sender = callers_.at(caller_id);
     made.attempt = sender.attempts;
     ++sender.calls;
     made.work =
@@ -374,7 +272,7 @@
   void ReachServer(std::uint64_t key) {
     const auto found = calls_.find(key);
     if (found == calls_.end()) return;
-    server_model& target = servers[found->second.server];
+    load_server& target = servers[found->second.server];
     if (target.down) {
       call_result refused = forwarding_fixture::Failed(base::error_kind::kConnectFailed, base::executed_state::kNo);
       At(now + Distance(found->second.instance, found->second.server),
@@ -395,7 +293,7 @@
   }
 
   /// Returns when work that starts now ends, as a pause interrupts it.
-  base::time_point EndOfWork(const server_model& target, base::duration work) const {
+  base::time_point EndOfWork(const load_server& target, base::duration work) const {
     base::time_point at = now;
     const auto interval = rules.pause_interval;
     if (interval <= base::duration{0} || rules.pause_length <= base::duration{0}) return at + work;
@@ -413,12 +311,12 @@
   }
 
   void StartWork(std::uint64_t key) {
-    server_call& made = calls_.at(key);
-    server_model& target = servers[made.server];
+    load_call& made = calls_.at(key);
+    load_server& target = servers[made.server];
     ++target.running;
     ++target.started_calls;
     made.running = true;
-    caller& sender = callers_.at(made.caller);
+    load_caller& sender = callers_.at(made.caller);
     // A call of an attempt that ended without knowledge of its outcome may run during the next one.
     if (made.attempt == sender.attempts) ++sender.run;
     const auto work =
@@ -435,8 +333,8 @@
 
   /// Removes the call from its server, and starts the next one of the queue.
   void LeaveServer(std::uint64_t key) {
-    server_call& made = calls_.at(key);
-    server_model& target = servers[made.server];
+    load_call& made = calls_.at(key);
+    load_server& target = servers[made.server];
     if (made.running) {
       made.running = false;
       --target.running;
@@ -451,8 +349,8 @@
   }
 
   void SendAnswer(std::uint64_t key, bool shed) {
-    const server_call& made = calls_.at(key);
-    const server_model& target = servers[made.server];
+    const load_call& made = calls_.at(key);
+    const load_server& target = servers[made.server];
     call_result result = shed ? forwarding_fixture::Failed(base::error_kind::kBackendShed, base::executed_state::kNo)
                               : forwarding_fixture::Served("x");
     if (rules.reports_load) {
@@ -500,7 +398,7 @@
     const std::uint64_t id = handles_.at(handle.value);
     const base::time_point replied = now;
     if (reply.failure.has_value() && reply.executed == base::executed_state::kNo) {
-      const caller& sender = callers_.at(id);
+      const load_caller& sender = callers_.at(id);
       const auto [refused, added] = refused_priority_.try_emplace(sender.instance, kinds[sender.kind].priority);
       refused->second = std::min(refused->second, kinds[sender.kind].priority);
       refusals.push_back({replied - sender.sent - rules.to_callers, reply.failure->kind, sender.calls, sender.run});
@@ -509,7 +407,7 @@
   }
 
   void Receive(std::uint64_t id, const answer& reply) {
-    caller& to = callers_.at(id);
+    load_caller& to = callers_.at(id);
     const load_kind& kind = kinds[to.kind];
     if (!reply.failure.has_value()) {
       to.ended = true;
@@ -536,9 +434,9 @@
   std::priority_queue<event> events_;
   std::uint64_t order_ = 0;
   std::unordered_map<std::string, std::size_t> index_;
-  std::map<std::uint64_t, caller> callers_;
+  std::map<std::uint64_t, load_caller> callers_;
   std::unordered_map<std::uint64_t, std::uint64_t> handles_;
-  std::unordered_map<std::uint64_t, server_call> calls_;
+  std::unordered_map<std::uint64_t, load_call> calls_;
   std::map<std::pair<std::size_t, std::uint64_t>, std::uint64_t> by_id_;
   /// Lowest priority value of the requests that an instance has refused since its last tick or ended call.
   std::map<std::size_t, std::uint32_t> refused_priority_;
@@ -548,27 +446,4 @@
   std::uint64_t next_server_call_ = 0;
 };
 
-/// Kinds 1 and 2 of deployment A on sharded routes.
-inline load_kind HeavyKind(std::size_t shards = 36) {
-  load_kind kind{"heavy", 63, milliseconds(20), milliseconds(200), milliseconds(800), 1};
-  kind.shards = shards;
-  kind.coverage = 0.95;
-  return kind;
-}
-inline load_kind UrgentKind(std::size_t shards = 36) {
-  load_kind kind{"urgent", 36.4, std::chrono::microseconds(6'700), milliseconds(50), milliseconds(400), 0};
-  kind.shards = shards;
-  kind.coverage = 0.85;
-  return kind;
-}
-/// Kind 3 of deployment B.
-inline load_kind SlowKind() { return {"slow", 26.4, milliseconds(120), milliseconds(500), milliseconds(8'000), 2}; }
-/// The services of a sharded index.
-inline std::vector<load_service> ShardServices(std::size_t shards, std::uint32_t slots = 4) {
-  std::vector<load_service> services;
-  for (std::size_t i = 0; i < shards; ++i)
-    services.push_back({"shard" + std::to_string(i), 3, slots});
-  return services;
-}
-
 }  // namespace limpetrouter::core::forwarding
