Learn the capacity and the speed of each server

One moving average of latency mixed a server's speed with queueing, and calls beyond a knee counted as free capacity up to the stated slots. Each instance now compares the latency of its calls, relative to the typical one, with the work at the server, and derives the concurrency up to which latency stays near its base, and the speed without queueing. The choice of a server uses them in its cost, its work limit and the condition of a hedge. Reported by limpetctl forwarding and limpetrouter_learned_capacity.

--- a/cli/forwarding.cc
+++ b/cli/forwarding.cc
@@ -34,7 +34,8 @@
       CellOf(report, "instance"), CellOf(routing, "version"), CellOf(routing, "age_ms"), CellOf(routing, "routes"),
       CellOf(read, "epoch"), CellOf(read, "revision"), CellOf(read, "age_ms"), CellOf(read, "failures"),
       CellOf(read, "followers"));
-  table servers{{"BACKEND SERVER", "SERVICE", "ADDRESS", "REVISION", "ENTRY AGE MS", "RUNNING", "EJECTED MS", "STATE"},
+  table servers{{"BACKEND SERVER", "SERVICE", "ADDRESS", "REVISION", "ENTRY AGE MS", "RUNNING", "CAPACITY", "SLOTS",
+                 "SPEED", "CAPACITY AGE MS", "EJECTED MS", "STATE"},
                 {}};
   for (const json& each : report.at("backend_servers")) {
     std::string state = "in use";
@@ -45,6 +46,8 @@
     if (each.value("draining", false)) state = "draining";
     servers.rows.push_back({CellOf(each, "id"), CellOf(each, "service"), CellOf(each, "address"),
                             CellOf(each, "revision"), CellOf(each, "entry_age_ms"), CellOf(each, "running"),
+                            fmt::format("{:.1f}", each.value("capacity", 0.0)), CellOf(each, "slots"),
+                            fmt::format("{:.2f}", each.value("speed", 1.0)), CellOf(each, "capacity_age_ms"),
                             CellOf(each, "ejected_for_ms"), state});
   }
   PrintTable(servers, "no backend servers");
--- a/core/forwarding/forwarding.cc
+++ b/core/forwarding/forwarding.cc
@@ -10,6 +10,7 @@
 #include "core/forwarding/rate_limit.h"
 #include "core/forwarding/requests.h"
 #include "core/forwarding/retry_budget.h"
+#include "core/forwarding/server_capacity.h"
 #include "core/forwarding/server_contact.h"
 
 namespace limpetrouter::core::forwarding {
@@ -159,7 +160,10 @@
                         {"ejected_for_ms", std::max<std::int64_t>(0, base::ToMilliseconds(each.ejected_until - now))},
                         {"pause_left_ms", std::max<std::int64_t>(0, base::ToMilliseconds(each.backs_off_until - now))},
                         {"running", each.running.size()},
-                        {"slowness", each.slowness},
+                        {"slots", each.record.slots},
+                        {"capacity", CapacityOf(each, now)},
+                        {"speed", SpeedOf(each, now)},
+                        {"capacity_age_ms", each.concurrency.samples == 0 ? -1 : AgeMs(each.concurrency.updated, now)},
                         {"failure_share", each.failure_share},
                         {"load_age_ms", AgeMs(each.load_at, now)},
                         {"limit_per_second", each.limit.has_value() ? each.limit->rate.per_second : 0},
--- a/core/forwarding/server_choice.cc
+++ b/core/forwarding/server_choice.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "core/forwarding/rate_limit.h"
+#include "core/forwarding/server_capacity.h"
 
 namespace limpetrouter::core::forwarding {
 namespace {
@@ -15,13 +16,9 @@
 constexpr double kOtherDataCentreCost = 2.0;
 /// A report of the work of other callers loses its weight with this time constant.
 constexpr double kLoadLifetimeUs = 400'000;
-/// Without new samples, a slow server counts as a typical one again after about this time, and gets a call.
-constexpr double kSlownessLifetimeUs = 4'000'000;
 constexpr double kFailureLifetimeUs = 3'000'000;
-/// Weight of one sample in the moving averages of slowness and failures.
+/// Weight of one sample in the moving average of failures.
 constexpr double kSampleWeight = 0.25;
-/// Upper bound of a slowness sample: a single slow call must not rule out a server, because pauses are temporary.
-constexpr double kMaxSample = 6;
 /// A call counts as overdue after this multiple of its expected time.
 constexpr double kOverdueFactor = 2;
 constexpr double kMaxOverdue = 8;
@@ -46,10 +43,6 @@
   return std::exp(-static_cast<double>((now - since).count()) / lifetime_us);
 }
 
-double SlownessOf(const server& each, base::time_point now) {
-  return 1 + (each.slowness - 1) * Decay(each.slowness_at, now, kSlownessLifetimeUs);
-}
-
 double FailureShareOf(const server& each, base::time_point now) {
   return each.failure_share * Decay(each.failure_at, now, kFailureLifetimeUs);
 }
@@ -70,9 +63,9 @@
 
 double CostOf(const server& each, const choice_rules& rules, base::time_point now) {
   const double work = EstimateWork(each, now);
-  const auto slots = static_cast<double>(std::max<std::uint32_t>(each.record.slots, 1));
-  const double queue = std::max(0.0, work + 1 - slots) / slots;
-  double cost = SlownessOf(each, now) * (1 + queue) + work / slots;
+  const double capacity = CapacityOf(each, now);
+  const double queue = std::max(0.0, work + 1 - capacity) / capacity;
+  double cost = SpeedOf(each, now) * (1 + queue) + work / capacity;
   cost += OverdueOf(each, now) + kFailureCost * FailureShareOf(each, now);
   if (IsWarmingUp(each, now)) cost += kWarmupCost;
   if (each.record.data_centre != rules.own_data_centre) cost += kOtherDataCentreCost;
@@ -100,12 +93,6 @@
   each.failure_at = now;
 }
 
-void AddSlownessSample(server& each, double sample, base::time_point now) {
-  const double slowness = SlownessOf(each, now);
-  each.slowness = slowness + kSampleWeight * (std::min(sample, kMaxSample) - slowness);
-  each.slowness_at = now;
-}
-
 }  // namespace
 
 double EstimateOtherWork(const server& server, base::time_point now) {
@@ -127,9 +114,10 @@
     const std::size_t limit = each.connection_limit_until > now ? each.connection_limit : rules.max_running;
     const std::size_t max_calls =
         each.ejections > 0 || each.resumes ? 1 : std::min<std::size_t>(limit, rules.max_running);
-    const bool full = each.running.size() >= max_calls || EstimateWork(each, now) >= rules.max_work * each.record.slots;
-    const bool busy = rules.is_hedge && (EstimateWork(each, now) >= each.record.slots || OverdueOf(each, now) > 0 ||
-                                         each.limit.has_value());
+    const double work = EstimateWork(each, now);
+    const bool full = each.running.size() >= max_calls || work >= WorkLimitOf(each, rules.max_work, now);
+    const bool busy =
+        rules.is_hedge && (work >= CapacityOf(each, now) || OverdueOf(each, now) > 0 || each.limit.has_value());
     if (full || busy) {
       if (best.state == choice_state::kNone || best.state == choice_state::kLimited) best.state = choice_state::kFull;
       continue;
@@ -154,15 +142,19 @@
   Eject(server, now);
 }
 
-void NoteCallStart(server& server, const running_call& call) { server.running.push_back(call); }
+void NoteCallStart(server& server, const running_call& call) {
+  running_call started = call;
+  started.work = EstimateWork(server, call.started) + 1;
+  started.incarnation = server.record.incarnation;
+  server.running.push_back(started);
+}
 
 void NoteCallEnd(server& server, call_id id, call_verdict verdict, base::duration elapsed,
                  const std::optional<server_load>& load, base::time_point now) {
   const auto found =
       std::find_if(server.running.begin(), server.running.end(), [id](const running_call& c) { return c.id == id; });
   if (found == server.running.end()) return;
-  const auto expected = static_cast<double>(std::max<base::duration::rep>(found->expected.count(), 1'000));
-  const double slowness = static_cast<double>(elapsed.count()) / expected;
+  const running_call ended = *found;
   server.running.erase(found);
   if (load.has_value()) {
     const double total = load->running + load->waiting;
@@ -171,7 +163,7 @@
   }
   switch (verdict) {
     case call_verdict::kServed:
-      AddSlownessSample(server, slowness, now);
+      LearnCapacity(server, ended, elapsed, load, now);
       AddFailureSample(server, 0, now);
       server.failures_in_row = 0;
       server.ejections = 0;
@@ -180,8 +172,7 @@
       server.lost_calls.clear();
       break;
     case call_verdict::kOverdue:
-      // The elapsed time of an abandoned call is a lower bound of the time that it would have taken.
-      if (slowness > SlownessOf(server, now)) AddSlownessSample(server, slowness, now);
+      LearnOverdue(server, ended, elapsed, now);
       break;
     case call_verdict::kConnectionRefused:
       if (server.served_at == base::time_point{} || now - server.served_at > kRecentlyServed) {
--- a/core/forwarding/server_choice.h
+++ b/core/forwarding/server_choice.h
@@ -14,9 +14,9 @@
   base::data_centre_id own_data_centre;
   /// Maximum number of calls that this instance may have at one server at a time.
   std::uint32_t max_running = 1;
-  /// Maximum work of a server, in multiples of its slots. Further calls would wait there longer than is worthwhile.
+  /// Maximum work of a server, in multiples of its capacity. Further calls would wait there longer than is worthwhile.
   double max_work = 2;
-  /// True for a hedge: the server must have a free slot and must not state a rate limit.
+  /// True for a hedge: the server must have free capacity and must not state a rate limit.
   bool is_hedge = false;
   /// True if the call must not be lost, so that a server on probation after an ejection is the last resort.
   bool avoid_probation = false;
--- a/core/forwarding/server_table.cc
+++ b/core/forwarding/server_table.cc
@@ -80,7 +80,7 @@
             std::vector<server_change>& changes) {
   server added;
   added.record = record;
-  added.record_read_at = added.slowness_at = added.failure_at = now;
+  added.record_read_at = added.concurrency.updated = added.failure_at = now;
   // An entry that lapsed and came back belongs to the same process.
   const auto departed = table.departed.find(record.id);
   if (departed != table.departed.end() && departed->second.incarnation == record.incarnation)
@@ -139,7 +139,7 @@
     std::vector<running_call> running = std::move(known.running);
     known = server{};
     known.record = record;
-    known.record_read_at = known.slowness_at = known.failure_at = now;
+    known.record_read_at = known.concurrency.updated = known.failure_at = now;
     known.running = std::move(running);
   }
   if (restarted || drains) changes.push_back({record.id, restarted ? "restarted" : "draining", record.revision});
--- a/core/forwarding/server_table.h
+++ b/core/forwarding/server_table.h
@@ -12,6 +12,7 @@
 #include "core/base/strong_id.h"
 #include "core/base/time.h"
 #include "core/forwarding/messages.h"
+#include "core/routing/concurrency_estimate.h"
 
 namespace limpetrouter::core::forwarding {
 
@@ -21,6 +22,10 @@
   base::time_point started{};
   /// Typical time of such a call.
   base::duration expected{};
+  /// Work at the server when the call was started, in calls, including this one.
+  double work = 1;
+  /// Incarnation of the server that the call was sent to.
+  std::uint64_t incarnation = 0;
 };
 
 /// A call that lost its connection before an answer began.
@@ -62,9 +67,8 @@
   bool leaving = false;
 
   std::vector<running_call> running;
-  /// Latency relative to the typical latency of such calls; 1 is typical.
-  double slowness = 1;
-  base::time_point slowness_at{};
+  /// What the latencies of its calls tell about its speed and its capacity.
+  routing::concurrency_estimate concurrency;
   /// Share of recent calls that failed.
   double failure_share = 0;
   base::time_point failure_at{};
--- a/shell/endpoints.cc
+++ b/shell/endpoints.cc
@@ -162,8 +162,8 @@
 }
 
 void HandleMetrics(const endpoint_ports& ports, reply_handle handle, const http_request& /*request*/) {
-  ports.post_task([answer = ports.answer, handle, metrics = ports.metrics](const instance& i, time_point /*now*/) {
-    metrics->UpdateInstanceGauges(i);
+  ports.post_task([answer = ports.answer, handle, metrics = ports.metrics](const instance& i, time_point now) {
+    metrics->UpdateInstanceGauges(i, now);
     answer(handle, {200, metrics->Text(), false});
   });
 }
--- a/shell/metrics.cc
+++ b/shell/metrics.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <map>
 #include <mutex>
+#include <utility>
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -10,6 +11,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include "core/forwarding/server_capacity.h"
 #include "core/membership/member_change.h"
 
 namespace limpetrouter::shell {
@@ -37,6 +39,8 @@
 }
 
 constexpr double kMicrosecondsPerSecond = 1e6;
+/// Bounds the number of time series of learned capacity.
+constexpr std::size_t kMaxCapacityServices = 128;
 
 double ToSeconds(core::base::duration duration) {
   return static_cast<double>(duration.count()) / kMicrosecondsPerSecond;
@@ -114,6 +118,15 @@
                         .Help("Configuration revision or version in force; 0 if none.")
                         .Register(registry)
                         .Add({});
+  prometheus::Family<Gauge>& learned_capacity =
+      prometheus::BuildGauge()
+          .Name("limpetrouter_learned_capacity")
+          .Help("Calls that the backend servers run at once without slowing down: sum and lowest by service.")
+          .Register(registry);
+  prometheus::Family<Gauge>& learned_capacity_age = prometheus::BuildGauge()
+                                                        .Name("limpetrouter_learned_capacity_age_seconds")
+                                                        .Help("Age of the oldest estimate of a service.")
+                                                        .Register(registry);
   Gauge& leaving = prometheus::BuildGauge()
                        .Name("limpetrouter_leaving")
                        .Help("1 while the instance shuts down.")
@@ -123,6 +136,35 @@
   /// The counters of `peer_bytes` by direction and plane. They are looked up once, because messages are frequent.
   std::array<std::array<Counter*, 2>, 2> bytes_by_plane{};
 
+  struct capacity_gauges {
+    Gauge* total = nullptr;
+    Gauge* lowest = nullptr;
+    Gauge* age = nullptr;
+  };
+  std::map<core::base::service_id, capacity_gauges> capacity_by_service;
+
+  /// Sets the gauges of learned capacity, and removes those of services that no longer exist.
+  void UpdateCapacity(const core::forwarding::server_table& table, core::base::time_point now) {
+    std::map<core::base::service_id, capacity_gauges> present;
+    for (const auto& each : core::forwarding::SummarizeCapacity(table, kMaxCapacityServices, now)) {
+      const std::string& service = each.service.value;
+      const capacity_gauges gauges = {&learned_capacity.Add({{"service", service}, {"measure", "sum"}}),
+                                      &learned_capacity.Add({{"service", service}, {"measure", "lowest"}}),
+                                      &Labelled(learned_capacity_age, "service", service)};
+      gauges.total->Set(each.total);
+      gauges.lowest->Set(each.lowest);
+      gauges.age->Set(ToSeconds(each.age));
+      present.emplace(each.service, gauges);
+    }
+    for (const auto& [service, gauges] : capacity_by_service) {
+      if (present.contains(service)) continue;
+      learned_capacity.Remove(gauges.total);
+      learned_capacity.Remove(gauges.lowest);
+      learned_capacity_age.Remove(gauges.age);
+    }
+    capacity_by_service = std::move(present);
+  }
+
   impl() {
     const std::array<const char*, 2> directions = {"sent", "received"};
     const std::array<const char*, 2> planes = {"data", "control"};
@@ -204,7 +246,7 @@
 
 void metrics::TickDelayed(core::base::duration lag) { impl_->tick_lag.Observe(ToSeconds(lag)); }
 
-void metrics::UpdateInstanceGauges(const core::instance::instance& instance) {
+void metrics::UpdateInstanceGauges(const core::instance::instance& instance, core::base::time_point now) {
   std::map<member_state, std::size_t> counts = {
       {member_state::kAlive, 0}, {member_state::kLeaving, 0}, {member_state::kSuspect, 0}, {member_state::kDead, 0}};
   for (const auto& [id, member] : instance.membership.members.members)
@@ -220,6 +262,7 @@
     impl_->revision.Set(configuration == nullptr ? 0 : static_cast<double>(configuration->revision.value));
   }
   impl_->leaving.Set(instance.leaving ? 1 : 0);
+  impl_->UpdateCapacity(instance.forwarding.servers, now);
 }
 
 std::string metrics::Text() const { return prometheus::TextSerializer().Serialize(impl_->registry.Collect()); }
--- a/shell/metrics.h
+++ b/shell/metrics.h
@@ -35,8 +35,8 @@
   void PeerMessageMalformed();
   void PlatformBytesReceived(std::size_t bytes);
   void TickDelayed(core::base::duration lag);
-  /// Sets the gauges of members, configuration revision and shutdown. Called on the core thread.
-  void UpdateInstanceGauges(const core::instance::instance& instance);
+  /// Sets the gauges of members, configuration revision, shutdown and learned capacity. Called on the core thread.
+  void UpdateInstanceGauges(const core::instance::instance& instance, core::base::time_point now);
 
   /// Returns all metrics in the Prometheus text format.
   std::string Text() const;
