--- a/core/forwarding/server_choice.h
+++ b/core/forwarding/server_choice.h
@@ -14,11 +14,11 @@
   base::data_centre_id own_data_centre;
   /// Maximum number of calls that this instance may have at one server at a time.
   std::uint32_t max_running = 1;
-  /// Maximum work of a server, in multiples of its slots. Further calls would wait there longer than is worthwhile.
+  /// Maximum work of a server, in multiples of its capacity. Further calls would wait there longer than is worthwhile.
   double max_work = 2;
   /// True if a server that reports no load, and whose calls are slow or fail, gets this instance's share of `max_work`.
   bool limit_hidden_work = false;
-  /// True for a hedge: the server must have a free slot and must not have a rate limit.
+  /// True for a hedge: the server must have free capacity and must not have a rate limit.
   bool is_hedge = false;
   /// True if the call must not be lost, so that a server on probation after an ejection is the last resort.
   bool avoid_probation = false;
@@ -67,7 +67,8 @@
 /// Ejects a server that does not accept connections.
 void NoteUnreachable(server& server, base::time_point now);
 void NoteCallStart(server& server, const running_call& call);
+/// `learns_capacity` is true if the speed and the capacity of servers are learned from their calls.
 void NoteCallEnd(server& server, call_id id, call_verdict verdict, base::duration elapsed,
-                 const std::optional<server_load>& load, base::time_point now);
+                 const std::optional<server_load>& load, base::time_point now, bool learns_capacity = false);
 
 }  // namespace limpetrouter::core::forwarding
--- a/core/forwarding/server_table.h
+++ b/core/forwarding/server_table.h
@@ -13,6 +13,7 @@
 #include "core/base/time.h"
 #include "core/forwarding/evacuation.h"
 #include "core/forwarding/messages.h"
+#include "core/routing/concurrency_estimate.h"
 
 namespace limpetrouter::core::forwarding {
 
@@ -22,6 +23,10 @@
   base::time_point started{};
   /// Typical time of such a call.
   base::duration expected{};
+  /// Work at the server when the call was started, in calls, including this one.
+  double work = 1;
+  /// Incarnation of the server that the call was sent to.
+  std::uint64_t incarnation = 0;
 };
 
 /// A call that lost its connection before an answer began.
@@ -86,6 +91,8 @@
   /// Latency relative to the typical latency of such calls; 1 is typical.
   double slowness = 1;
   base::time_point slowness_at{};
+  /// What the latencies of its calls tell about its speed and its capacity, where capacities are learned.
+  routing::concurrency_estimate concurrency;
   /// Share of recent calls that failed.
   double failure_share = 0;
   base::time_point failure_at{};
--- a/shell/metrics.h
+++ b/shell/metrics.h
@@ -38,7 +38,8 @@
   /// Sets the metrics of callers' connections.
   void UpdateConnections(const connection_totals& totals);
   void TickDelayed(core::base::duration lag);
-  /// Sets the gauges of members, configuration, cold servers and shutdown. Called on the core thread.
+  /// Sets the gauges of members, configuration, cold servers, waiting parts, learned capacity and shutdown. Called on
+  /// the core thread.
   void UpdateInstanceGauges(const core::instance::instance& instance, core::base::time_point now);
 
   /// Returns all metrics in the Prometheus text format.
