--- a/shell/connection_limits.cc
+++ b/shell/connection_limits.cc
@@ -24,9 +24,9 @@
 /// Bound of a machine whose memory is not stated. 300 connections can hold one largest request each.
 constexpr std::size_t kDefaultHeldBytes = 96 * kMegabyte;
 constexpr std::size_t kDefaultConnections = 2'000;
-/// Connections get a quarter of the memory, and requests that are passed on get another one. The rest serves the
-/// answers of backend servers and the process itself.
-constexpr std::size_t kHeldShareOfMemory = 4;
+/// Connections get a fifth of the memory, and requests that are passed on get another one. The rest serves the answers
+/// of backend servers, messages to peers and the process itself.
+constexpr std::size_t kHeldShareOfMemory = 5;
 /// Descriptors for logs, listeners and the platform's own use.
 constexpr std::uint32_t kReservedDescriptors = 200;
 /// Callers get half of the other descriptors. The rest serves backend servers and peers.
--- a/shell/http_connection.cc
+++ b/shell/http_connection.cc
@@ -20,9 +20,6 @@
 namespace pistache_http = Pistache::Http;
 namespace pistache_tcp = Pistache::Tcp;
 
-/// Buffers of a caller's socket. The kernel doubles these sizes. They suffice for 200 Mbit/s at a round trip of 2 ms.
-constexpr int kReceiveBufferBytes = 64 * 1024;
-constexpr int kSendBufferBytes = 128 * 1024;
 /// While a connection with requests without a written answer holds this much for them, no further one is taken.
 constexpr std::size_t kMaxExchangeBytes = 512 * 1024;
 /// An exchange occupies about this much besides its answer.
@@ -95,9 +92,6 @@
     if (locked == nullptr) return std::nullopt;
     return CheckConnection(*locked, now);
   };
-  const std::shared_ptr<pistache_tcp::Peer> peer = c->peer.lock();
-  ::setsockopt(peer->fd(), SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof kReceiveBufferBytes);
-  ::setsockopt(peer->fd(), SOL_SOCKET, SO_SNDBUF, &kSendBufferBytes, sizeof kSendBufferBytes);
 }
 
 void QueueAnswers(http_connection& c, bool close_connections) {
--- a/shell/http_connection.h
+++ b/shell/http_connection.h
@@ -104,7 +104,7 @@
 };
 using connection_ptr = std::shared_ptr<http_connection>;
 
-/// Limits the buffers of the socket, and connects the account to the connection.
+/// Connects the account to the connection.
 void PrepareConnection(const connection_ptr& c);
 
 /// Moves the answers whose preceding requests have all been answered to `unwritten`. If `close_connections` is set, the
--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -1,7 +1,13 @@
 #include "shell/http_server.h"
 
+#include <sys/socket.h>
+
+#include <cstdlib>
 #include <deque>
+#include <filesystem>
 #include <mutex>
+#include <string_view>
+#include <system_error>
 #include <utility>
 
 #include <fmt/format.h>
@@ -10,6 +16,7 @@
 
 #include "shell/http_connection.h"
 #include "shell/http_request_reader.h"
+#include "shell/peer_stream.h"
 
 namespace limpetrouter::shell {
 namespace {
@@ -26,6 +33,30 @@
 /// limited here, so that they are not needed.
 constexpr std::chrono::hours kNoTimeout{24 * 365};
 constexpr int kBacklog = 1024;
+/// Buffers of a caller's socket; the kernel doubles the sizes. What a caller sends before its connection is served, or
+/// does not read, is held in them. They allow 64 Mbit/s for each connection at a round trip of 2 ms.
+constexpr int kReceiveBufferBytes = 16 * 1024;
+constexpr int kSendBufferBytes = 32 * 1024;
+
+/// Limits the buffers of the sockets that the listener on `address` accepts. They inherit them from the listening
+/// socket, which Pistache does not give away. A later change of an accepted socket would shrink a window that was
+/// announced.
+void LimitSocketBuffers(const std::string& address) {
+  const std::string wanted = ParseSocketAddress(address).bytes;
+  std::error_code failure;
+  for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd", failure)) {
+    const int fd = std::atoi(entry.path().filename().c_str());
+    int listening = 0;
+    socklen_t size = sizeof listening;
+    if (::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listening, &size) != 0 || listening == 0) continue;
+    sockaddr_storage bound{};
+    size = sizeof bound;
+    if (::getsockname(fd, reinterpret_cast<sockaddr*>(&bound), &size) != 0) continue;
+    if (std::string_view(reinterpret_cast<const char*>(&bound), size) != wanted) continue;
+    ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof kReceiveBufferBytes);
+    ::setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &kSendBufferBytes, sizeof kSendBufferBytes);
+  }
+}
 
 /// Replaces the request handling of Pistache's handler, which answers malformed input in plain text by itself, drops
 /// pipelined requests, and lets answers overtake each other.
@@ -159,6 +190,7 @@
     impl_->endpoint->init(options);
     impl_->endpoint->setHandler(std::make_shared<request_handler>(impl_->state));
     impl_->endpoint->serveThreaded();
+    LimitSocketBuffers(impl_->address);
   } catch (const std::exception& e) {
     impl_->endpoint.reset();
     return core::base::Fail(error_kind::kInvalidSetting,
--- a/tests/shell/http_limits_test.cc
+++ b/tests/shell/http_limits_test.cc
@@ -314,5 +314,44 @@
   CHECK(limits->Totals().request_bytes == 0);
 }
 
+// Guards against defaults that clients meet which have one request at a time on each of some hundreds of connections.
+TEST_CASE("300 connections with one largest request each meet no default") {
+  constexpr std::size_t kConnections = 300;
+  auto limits = std::make_shared<connection_limits>(DeriveBounds({}));
+  http_server_options options;
+  options.address = FreeAddress();
+  options.opaque = true;
+  options.limits = limits;
+  std::mutex mutex;
+  std::vector<std::pair<reply_handle, http_request>> kept;
+  http_server server(options, http_observer{[&](reply_handle handle, http_request request) {
+                                              const std::lock_guard lock(mutex);
+                                              kept.emplace_back(handle, std::move(request));
+                                            },
+                                            [](reply_handle) {}});
+  REQUIRE(server.Start().has_value());
+  const request_limits largest;
+  std::string request =
+      fmt::format("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\nX-Filler: ", largest.max_body_bytes);
+  request += std::string(largest.max_header_bytes - request.size() - 4, 'f') + "\r\n\r\n";
+  request += std::string(largest.max_body_bytes, 'b');
+  std::vector<int> open;
+  for (std::size_t i = 0; i < kConnections; ++i) {
+    open.push_back(ConnectTo(options.address));
+    REQUIRE(::send(open.back(), request.data(), request.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(request.size()));
+  }
+  REQUIRE(Eventually([&] {
+    const std::lock_guard lock(mutex);
+    return kept.size() == kConnections;
+  }));
+  for (const auto& [handle, each] : kept)
+    server.Answer(handle, {200, "\"done\""});
+  for (const int fd : open) {
+    CHECK(ReadUntil(fd, "\"done\"").starts_with("HTTP/1.1 200"));
+    ::close(fd);
+  }
+  CHECK(limits->Totals().closed == decltype(connection_totals::closed){});
+}
+
 }  // namespace
 }  // namespace limpetrouter::shell
