--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -23,7 +23,6 @@
 
 using core::base::error_kind;
 using core::base::reply_handle;
-using std::chrono::steady_clock;
 namespace pistache_http = Pistache::Http;
 namespace pistache_tcp = Pistache::Tcp;
 
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -63,7 +63,7 @@
   std::shared_ptr<connection_limits> limits;
 };
 
-/// Callbacks of the server. They run on its threads.
+/// Callbacks of the server. They run on its threads, or on the thread of its `connection_limits`.
 struct http_observer {
   /// Each request must be answered exactly once through `http_server::Answer`, within the callback or later, on any
   /// thread.
--- a/tests/forwarding/flood.py
+++ b/tests/forwarding/flood.py
@@ -55,7 +55,7 @@
 
 
 def make_batches(path, thread, count):
-    """Returns all requests of a connection. They are made beforehand, so that the sender is not what limits the load."""
+    """Returns all requests of a connection. They are made beforehand, so that the sender does not limit the load."""
     return ["".join(f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: f{thread}-{first + i}\r\n\r\n"
                     for i in range(BATCH)).encode()
             for first in range(0, count, BATCH)]
