--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -107,8 +107,7 @@
   if (found == tables.servers.servers.end()) return;
   server& target = found->second;
   const std::uint32_t ejections = target.ejections;
-  NoteCallEnd(target, id, ClassifyResult(result), ctx.now - ended.started, result.load, ctx.now,
-              tables.bounds.policies.learned_capacity);
+  NoteCallEnd(target, id, ClassifyResult(result), ctx.now - ended.started, result.load, ctx.now);
   // A connection that is accepted and then reset may exceed the server's connection limit. Only a refused connection
   // shows that no process listens.
   if (result.failure == error_kind::kConnectFailed) {
--- a/core/forwarding/server_capacity.cc
+++ b/core/forwarding/server_capacity.cc
@@ -38,7 +38,7 @@
 }
 
 double SpeedOf(const server& each, base::time_point now) {
-  return each.concurrency.samples == 0 ? SlownessOf(each, now) : routing::SpeedOf(each.concurrency, now);
+  return each.learns_capacity ? routing::SpeedOf(each.concurrency, now) : SlownessOf(each, now);
 }
 
 void LearnCapacity(server& each, const running_call& ended, base::duration elapsed,
--- a/core/forwarding/server_capacity.h
+++ b/core/forwarding/server_capacity.h
@@ -19,7 +19,7 @@
 /// Returns the recent latency of the server's calls, relative to the typical latency of such calls.
 double SlownessOf(const server& each, base::time_point now);
 /// Returns the latency of a call that does not queue at the server, relative to the typical latency of such calls. The
-/// recent latency of all calls if nothing has been learned.
+/// recent latency of all calls if the speed is not learned.
 double SpeedOf(const server& each, base::time_point now);
 
 /// Learns from a call that the server has served. `load` is the load report in the answer.
--- a/core/forwarding/server_choice.cc
+++ b/core/forwarding/server_choice.cc
@@ -179,7 +179,7 @@
 }
 
 void NoteCallEnd(server& server, call_id id, call_verdict verdict, base::duration elapsed,
-                 const std::optional<server_load>& load, base::time_point now, bool learns_capacity) {
+                 const std::optional<server_load>& load, base::time_point now) {
   const auto found =
       std::find_if(server.running.begin(), server.running.end(), [id](const running_call& c) { return c.id == id; });
   if (found == server.running.end()) return;
@@ -195,7 +195,7 @@
   switch (verdict) {
     case call_verdict::kServed:
       AddSlownessSample(server, slowness, now);
-      if (learns_capacity) LearnCapacity(server, ended, elapsed, load, now);
+      if (server.learns_capacity) LearnCapacity(server, ended, elapsed, load, now);
       AddFailureSample(server, 0, now);
       server.failures_in_row = 0;
       server.ejections = 0;
@@ -206,7 +206,7 @@
     case call_verdict::kOverdue:
       // The elapsed time of an abandoned call is a lower bound of the time that it would have taken.
       if (slowness > SlownessOf(server, now)) AddSlownessSample(server, slowness, now);
-      if (learns_capacity) LearnOverdue(server, ended, elapsed, now);
+      if (server.learns_capacity) LearnOverdue(server, ended, elapsed, now);
       break;
     case call_verdict::kConnectionRefused:
       if (server.served_at == base::time_point{} || now - server.served_at > kRecentlyServed) {
--- a/core/forwarding/server_choice.h
+++ b/core/forwarding/server_choice.h
@@ -67,8 +67,7 @@
 /// Ejects a server that does not accept connections.
 void NoteUnreachable(server& server, base::time_point now);
 void NoteCallStart(server& server, const running_call& call);
-/// `learns_capacity` is true if the speed and the capacity of servers are learned from their calls.
 void NoteCallEnd(server& server, call_id id, call_verdict verdict, base::duration elapsed,
-                 const std::optional<server_load>& load, base::time_point now, bool learns_capacity = false);
+                 const std::optional<server_load>& load, base::time_point now);
 
 }  // namespace limpetrouter::core::forwarding
--- a/core/forwarding/server_table.cc
+++ b/core/forwarding/server_table.cc
@@ -82,6 +82,7 @@
             std::vector<server_change>& changes) {
   server added;
   added.record = record;
+  added.learns_capacity = table.learns_capacity;
   added.record_read_at = added.slowness_at = added.concurrency.updated = added.failure_at = now;
   // An entry that lapsed and came back belongs to the same process.
   const auto departed = table.departed.find(record.id);
@@ -145,6 +146,7 @@
     std::vector<running_call> running = std::move(known.running);
     known = server{};
     known.record = record;
+    known.learns_capacity = table.learns_capacity;
     known.record_read_at = known.slowness_at = known.concurrency.updated = known.failure_at = now;
     known.running = std::move(running);
   }
--- a/core/forwarding/server_table.h
+++ b/core/forwarding/server_table.h
@@ -91,7 +91,9 @@
   /// Latency relative to the typical latency of such calls; 1 is typical.
   double slowness = 1;
   base::time_point slowness_at{};
-  /// What the latencies of its calls tell about its speed and its capacity, where capacities are learned.
+  /// True if its speed and its capacity are learned from its calls.
+  bool learns_capacity = false;
+  /// What the latencies of its calls tell about both.
   routing::concurrency_estimate concurrency;
   /// Share of recent calls that failed.
   double failure_share = 0;
@@ -156,6 +158,8 @@
   std::unordered_map<base::backend_server_id, departed_server> departed;
   std::deque<base::backend_server_id> departure_order;
   std::unordered_map<base::backend_server_id, returned_entry> returned;
+  /// True if the speed and the capacity of servers that are added are learned.
+  bool learns_capacity = false;
   /// `removals` holds all removals after this revision.
   std::uint64_t removals_since = 0;
   evacuation_table evacuations;
--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -132,6 +132,7 @@
                if (!s.forwarding.has_value()) return;
                instance.forwarding.enabled = true;
                instance.forwarding.bounds = s.forwarding->bounds;
+               instance.forwarding.servers.learns_capacity = s.forwarding->bounds.policies.learned_capacity;
              }),
         backend([this](core::io::event event) { PostBackendEvent(std::move(event)); }, s.backend_threads, s.answers),
         platform(
--- a/tests/core/forwarding/capacity_model.h
+++ b/tests/core/forwarding/capacity_model.h
@@ -71,6 +71,7 @@
       record.slots = added.slots;
       record.incarnation = 1;
       changes.servers.push_back(record);
+      each.table.learns_capacity = true;
       ApplyRecords(each.table, changes, now_);
     }
   }
@@ -281,7 +282,7 @@
   void End(std::size_t index, const job& done, const server_load& load) {
     model_instance& each = instances_[done.instance];
     each.changed = true;
-    NoteCallEnd(each.table.servers.at(IdOf(index)), done.id, call_verdict::kServed, now_ - done.sent, load, now_, true);
+    NoteCallEnd(each.table.servers.at(IdOf(index)), done.id, call_verdict::kServed, now_ - done.sent, load, now_);
     routing::latency_window& window = each.latency[done.request.route];
     routing::AddLatency(window, now_ - done.sent, now_);
     routing::RefreshSummary(window, 0.05, now_);
--- a/tests/core/forwarding/server_capacity_test.cc
+++ b/tests/core/forwarding/server_capacity_test.cc
@@ -171,6 +171,7 @@
 // Guards against what was learned of a former process, or is learned from its late answers.
 TEST_CASE("the estimate restarts with a new incarnation") {
   server each;
+  each.learns_capacity = true;
   each.record.slots = kSlots;
   each.record.incarnation = 1;
   base::time_point now{seconds(1'000)};
@@ -182,17 +183,18 @@
     const call_id id(i);
     NoteCallStart(each, {id, now, milliseconds(20)});
     const server_load load{work, 0, kSlots, 1};
-    NoteCallEnd(each, id, call_verdict::kServed, milliseconds(20 * std::max<std::uint32_t>(work, 2)), load, now, true);
+    NoteCallEnd(each, id, call_verdict::kServed, milliseconds(20 * std::max<std::uint32_t>(work, 2)), load, now);
   }
   REQUIRE(CapacityOf(each, now) < 0.75 * kSlots);
   NoteCallStart(each, {call_id(1'000), now, milliseconds(20)});
   std::vector<running_call> running = each.running;
   each = server{};
+  each.learns_capacity = true;
   each.record.slots = kSlots;
   each.record.incarnation = 2;
   each.running = running;
   CHECK(CapacityOf(each, now) == kSlots);
-  NoteCallEnd(each, call_id(1'000), call_verdict::kServed, milliseconds(200), {}, now, true);
+  NoteCallEnd(each, call_id(1'000), call_verdict::kServed, milliseconds(200), {}, now);
   CHECK(SpeedOf(each, now) == 1);
 }
 
