--- a/shell/main.cc
+++ b/shell/main.cc
@@ -123,11 +123,11 @@
 #endif
 }
 
-core::forwarding::optional_policies PoliciesOf([[maybe_unused]] const forwarding_settings& forwarding) {
+bool CallsForAdmissionControl([[maybe_unused]] const forwarding_settings& forwarding) {
 #if __has_include("platform/adapter.h")
-  return platform::PoliciesOf(forwarding.contracts);
+  return platform::CallsForAdmissionControl(forwarding.contracts);
 #else
-  return {};
+  return false;
 #endif
 }
 
@@ -146,7 +146,8 @@
     fmt::print(stderr, "limpetrouterd: [forwarding] is set, but this build has no platform adapter\n");
     return kExitSettings;
   }
-  if (settings.forwarding.has_value()) settings.forwarding->bounds.policies = PoliciesOf(*settings.forwarding);
+  if (settings.forwarding.has_value())
+    settings.forwarding->bounds.policies.admission_control = CallsForAdmissionControl(*settings.forwarding);
   daemon instance(settings, make_adapter);
   const core::base::result<void> started = instance.Start();
   if (!started.has_value()) {
--- a/shell/settings.cc
+++ b/shell/settings.cc
@@ -35,8 +35,8 @@
       {"peers", {"seeds", "port"}},
       {"forwarding",
        {"entry", "readiness", "directory", "store", "retry_ratio", "retry_window_s", "retry_allowance",
-        "max_address_validity_s", "shutdown_grace_s", "server_heartbeat_ms", "cold_overage", "cold_slack",
-        "contracts"}},
+        "max_address_validity_s", "shutdown_grace_s", "server_heartbeat_ms", "cold_overage", "cold_slack", "contracts",
+        "learned_capacity"}},
       {"limits",
        {"max_request_bytes", "max_peer_queue_bytes", "max_peer_connections", "max_pending_requests", "backend_threads",
         "max_answer_header_bytes", "max_buffered_answer_bytes", "memory_mb", "max_descriptors", "max_connections",
@@ -257,6 +257,9 @@
   parsed.bounds.server_heartbeat = std::chrono::milliseconds(heartbeat_ms);
   ReadNumber<double>(check, "forwarding", "cold_overage", 1.0, kMaxColdFactor, parsed.bounds.cold_overage);
   ReadNumber<double>(check, "forwarding", "cold_slack", 0.0, kMaxColdFactor, parsed.bounds.cold_slack);
+  std::uint32_t learns_capacity = 0;
+  ReadNumber<std::uint32_t>(check, "forwarding", "learned_capacity", 0, 1, learns_capacity);
+  parsed.bounds.policies.learned_capacity = learns_capacity == 1;
   parsed.contracts = SplitList(check.Value("forwarding", "contracts").value_or(""));
   out.forwarding = std::move(parsed);
 }
--- a/shell/settings.h
+++ b/shell/settings.h
@@ -37,7 +37,8 @@
   /// Address of the platform's store.
   std::string store;
   core::forwarding::fleet_bounds bounds;
-  /// Names of the platform's rules that are in force. The platform adapter decides which policies they call for.
+  /// Names of the platform's rules that are in force. The platform adapter decides whether they call for admission
+  /// control.
   std::vector<std::string> contracts;
 };
 
--- a/tests/shell/settings_test.cc
+++ b/tests/shell/settings_test.cc
@@ -67,7 +67,8 @@
       "[peers]\nseeds = 10.0.0.2:8224,10.0.0.3:8224\nport = 7740\n"
       "[forwarding]\nentry = 10.0.0.1:3\nreadiness = 10.0.0.1:4\ndirectory = 10.0.0.1:5\nstore = 10.9.0.1:6\n"
       "retry_ratio = 0.25\nretry_window_s = 8\nretry_allowance = 7\nshutdown_grace_s = 2.5\n"
-      "server_heartbeat_ms = 900\ncold_overage = 2\ncold_slack = 3\ncontracts = base, drain,,config\n",
+      "server_heartbeat_ms = 900\ncold_overage = 2\ncold_slack = 3\ncontracts = base, drain,,config\nlearned_capacity "
+      "= 1\n",
       "f.ini");
   REQUIRE(read.has_value());
   REQUIRE(read->forwarding.has_value());
@@ -79,6 +80,7 @@
   CHECK(read->forwarding->bounds.server_heartbeat == std::chrono::milliseconds(900));
   CHECK(read->forwarding->bounds.cold_overage == 2);
   CHECK(read->forwarding->bounds.cold_slack == 3);
+  CHECK(read->forwarding->bounds.policies.learned_capacity);
   CHECK(read->forwarding->contracts == std::vector<std::string>{"base", "drain", "config"});
   CHECK(read->seeds == std::vector<std::string>{"10.0.0.2:7740", "10.0.0.3:7740"});
 }
