--- a/core/base/error_kind.cc
+++ b/core/base/error_kind.cc
@@ -1,5 +1,6 @@
 #include "core/base/error_kind.h"
 
+#include <algorithm>
 #include <array>
 
 namespace limpetrouter::core::base {
@@ -102,6 +103,17 @@
   return std::nullopt;
 }
 
+bool PromisesNotExecuted(int status) {
+  constexpr std::array kPromises = {408, 421, 429, 503};
+  return std::find(kPromises.begin(), kPromises.end(), status) != kPromises.end();
+}
+
+int HttpStatusOf(error_kind kind, executed_state executed) {
+  constexpr int kBadGateway = 502;
+  const int status = DescribeError(kind).http_status;
+  return executed != kNo && PromisesNotExecuted(status) ? kBadGateway : status;
+}
+
 executed_state CombineExecuted(executed_state a, executed_state b) {
   if (a == executed_state::kYes || b == executed_state::kYes) return executed_state::kYes;
   if (a == kUnknown || b == kUnknown) return kUnknown;
--- a/core/base/error_kind.h
+++ b/core/base/error_kind.h
@@ -71,7 +71,7 @@
   error_kind kind;
   /// Stable name in answers, logs and metrics.
   std::string_view name;
-  /// HTTP status of an answer to a caller.
+  /// HTTP status of a refusal whose request was certainly not executed; `HttpStatusOf` covers all refusals.
   int http_status;
   /// Whether the request was executed, as far as the kind alone determines it. Absent if it depends on the attempts of
   /// the query.
@@ -107,6 +107,13 @@
   return tl::make_unexpected(error{kind, std::move(detail)});
 }
 
+/// True if an answer with this HTTP status promises its caller that the request was not executed and never will be.
+bool PromisesNotExecuted(int status);
+
+/// Returns the HTTP status of a refusal: that of its kind, or 502 if the kind's status would promise that a request was
+/// not executed which may have been.
+int HttpStatusOf(error_kind kind, executed_state executed);
+
 /// Combines the execution states of two attempts of one request: "yes" outweighs "unknown", which outweighs "no".
 executed_state CombineExecuted(executed_state a, executed_state b);
 
--- a/core/forwarding/answers.cc
+++ b/core/forwarding/answers.cc
@@ -49,6 +49,8 @@
   return status >= kFirstFinal && status <= kLast;
 }
 
+bool IsForwardableStatus(int status) { return IsFinalStatus(status) && !base::PromisesNotExecuted(status); }
+
 std::string MergeRecords(const std::vector<std::string_view>& parts, std::size_t count, std::size_t record_bytes) {
   std::vector<std::string_view> records;
   for (const std::string_view part : parts) {
--- a/core/forwarding/answers.h
+++ b/core/forwarding/answers.h
@@ -14,6 +14,10 @@
 /// True if a final answer may have this status. Interim statuses are none: nothing asks to switch protocols.
 bool IsFinalStatus(int status);
 
+/// True if a backend server's answer with this status may be passed on to a caller. The server has executed the
+/// request, so a status that promises the opposite may not.
+bool IsForwardableStatus(int status);
+
 /// Returns the `count` greatest records of all parts in descending order, compared byte by byte. A remainder of a part
 /// that is shorter than `record_bytes` is ignored.
 std::string MergeRecords(const std::vector<std::string_view>& parts, std::size_t count, std::size_t record_bytes);
--- a/core/forwarding/relay.cc
+++ b/core/forwarding/relay.cc
@@ -217,7 +217,7 @@
                          relayed.answer.retry_after);
   }
   // An instance of a build that accepts any status from its backend servers passes it back.
-  if (!IsFinalStatus(relayed.answer.status)) {
+  if (!IsForwardableStatus(relayed.answer.status)) {
     return HandleFailure(tables, ctx, handle, *request,
                          {error_kind::kAnswerMalformed, fmt::format("instance {} passed back an answer with status {}",
                                                                     header.sender.id.value, relayed.answer.status)},
--- a/core/forwarding/request_outcome.cc
+++ b/core/forwarding/request_outcome.cc
@@ -203,6 +203,7 @@
     return;
   }
   request.last_failure = error_kind::kBackendFailed;
+  if (!IsForwardableStatus(result.status)) return;
   // A status such as 404 is the backend server's final answer. A status from 500 on is used only if no other server
   // answers better.
   if (result.status < kFirstServerError && request.route->shards.empty()) {
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -45,8 +45,10 @@
   if (refused && result.elapsed < kRefusalTime) return call_verdict::kConnectionRefused;
   // A server that asks for a pause is not broken, and gets no calls meanwhile.
   if (result.back_off.has_value()) return call_verdict::kNeutral;
-  if (!result.failure.has_value())
-    return result.status < kFirstServerError ? call_verdict::kServed : call_verdict::kFailed;
+  if (!result.failure.has_value()) {
+    const bool usable = result.status < kFirstServerError && IsForwardableStatus(result.status);
+    return usable ? call_verdict::kServed : call_verdict::kFailed;
+  }
   switch (*result.failure) {
     case error_kind::kConnectFailed:
       return call_verdict::kUnreachable;
--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -200,9 +200,10 @@
   void Run(core::io::reply_query&& reply) {
     ReleaseCharge(reply.handle);
     replies.Post([this, reply = std::move(reply)] {
-      const int status = reply.answer.succeeded ? 200 : core::base::DescribeError(reply.answer.failure).http_status;
-      const auto elapsed = http.Answer(reply.handle, {status, EncodeQueryAnswer(reply.answer), true});
-      if (elapsed.has_value()) metrics.QueryEnded(reply.answer, *elapsed);
+      const core::peer::query_answer& answer = reply.answer;
+      const int status = answer.succeeded ? 200 : core::base::HttpStatusOf(answer.failure, answer.executed);
+      const auto elapsed = http.Answer(reply.handle, {status, EncodeQueryAnswer(answer), true});
+      if (elapsed.has_value()) metrics.QueryEnded(answer, *elapsed);
     });
   }
 
--- a/tests/core/base/error_kind_test.cc
+++ b/tests/core/base/error_kind_test.cc
@@ -33,5 +33,20 @@
   CHECK(CombineExecuted(r.b, r.a) == r.expected);
 }
 
+// Guards against a caller that sends a request again, because the status of a refusal promises that it was not executed
+// although it may have been.
+TEST_CASE("the status of a refusal promises only what is known") {
+  const auto executed = GENERATE(executed_state::kNo, executed_state::kYes, executed_state::kUnknown);
+  for (std::size_t i = 0; i < kErrorKindCount; ++i) {
+    const auto kind = static_cast<error_kind>(i);
+    INFO(ToString(kind) << ", executed " << ToString(executed));
+    const int status = HttpStatusOf(kind, executed);
+    const bool promise = status == 408 || status == 421 || status == 429 || status == 503;
+    CHECK(PromisesNotExecuted(status) == promise);
+    CHECK_FALSE((promise && executed != executed_state::kNo));
+    if (executed == executed_state::kNo) CHECK(status == DescribeError(kind).http_status);
+  }
+}
+
 }  // namespace
 }  // namespace limpetrouter::core::base
--- a/tests/forwarding/standins.py
+++ b/tests/forwarding/standins.py
@@ -11,9 +11,13 @@
 import socket
 import struct
 import time
+import zlib
 from urllib.parse import parse_qs, unquote, urlsplit
 
 RECORD_BYTES = 16
+# Statuses of the failures of a server that has executed the request. An instance must not pass the last four on, as
+# they promise the caller that the request was not executed.
+FAILURE_STATUSES = (500, 503, 429, 408, 421)
 
 
 async def read_request(reader):
@@ -275,7 +279,9 @@
         load = ("X-Server-Load", f"{self.running},{self.waiting},{self.slots}")
         stamp = ("X-Server-Stamp", server_stamp(self.id, self.service, attempt))
         if fault == "error":
-            return await self.send(writer, encode_answer(500, [echo, stamp], b"failed"))
+            # The status follows from the attempt, so that the random numbers of a seed stay the same.
+            status = FAILURE_STATUSES[zlib.crc32(attempt.encode()) % len(FAILURE_STATUSES)]
+            return await self.send(writer, encode_answer(status, [echo, stamp], b"failed"))
         answer = encode_answer(200, [echo, stamp, load], records(self.service, attempt, 8))
         if fault == "truncate":
             await self.send(writer, answer[:-40])
--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import time
+from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 
 from fleet import Fleet, Load, call, outcomes, wait_until
@@ -23,6 +24,8 @@
 DRAIN_SECONDS = 2.0
 # Largest number of backend server crashes that one crashing request may cause in the whole fleet.
 MOST_CRASHES = 2
+# Statuses by which an answer promises that the request was not executed and never will be.
+NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
 SWEEP = {"collection": "stock-ledger", "operation": "sweep"}
 SHORT_VALIDITY = {"address_validity_ms": 1000, "permit_validity_ms": 10000}
@@ -310,6 +313,24 @@
               f"answers {outcomes(a for _, a in answers)}")
 
 
+def refusal_statuses():
+    """Guards against a refusal whose HTTP status promises that the request was not executed although servers executed
+    it: callers and their libraries send it again after such a status."""
+    with Fleet("bureau", BUILD, limits=SHORT_VALIDITY) as fleet:
+        # The answers of one shard, and then of all shards, are discarded as damaged.
+        for servers in (["stock-01-a", "stock-01-b", "stock-01-c"], ["*"]):
+            for server in servers:
+                fleet.backend_control({"server": server, "set": {"answer": "wrong_digest", "answer_probability": 1}})
+            refused = [fleet.query(name, **SWEEP, deadline_ms=1500) for name in list(fleet.instances)[:3]]
+            fleet.backend_control({"server": "*", "set": {"answer": "normal"}})
+            for status, answer in refused:
+                check(answer.get("status") == "refused" and answer.get("executed") != "no",
+                      f"{servers}: expected a refusal of an executed request, got {status}: {answer}")
+                check(status not in NOT_EXECUTED_STATUSES,
+                      f"{servers}: status {status} promises that the request was not executed: {answer}")
+            print(f"{servers}: {len(refused)} sweeps, {dict(Counter((s, a['error']) for s, a in refused))}")
+
+
 def main():
     for name in sys.argv[2:]:
         start = time.monotonic()
