Read the framing of all HTTP messages in one place, strictly

Callers saw: a server's answer with "Content-Length: 4x0" and 400 bytes behind it was passed on as a 200 with 4 bytes.

Cause: two readers of one header. Each line's form was checked here, but the meaning of the fields that frame the body was left to libcurl, which takes the digits in front of the first other character, the last of two lengths, and none if the number does not fit. Chunk sizes alike. Requests had two readers more.

Change: message_framing is the only code that reads Content-Length and Transfer-Encoding, for requests of both interfaces and answers of backend servers and of the store. chunk_decoder decodes chunks for both directions, in pieces of any size; libcurl passes them on as they are. What libcurl has read is compared with the framing at the end. An answer with the id of another attempt ends its connection, which stayed one answer behind before. The reason of a malformed answer is logged. Counting the bytes of the socket, which refused chunk extensions without end, is no longer needed.

One row of the test of trailers changes: a trailer line without a colon was refused by libcurl as truncated, and is now refused here as malformed, before libcurl reads it. The caller gets the same answer. Trailers are no longer added to the header. Two equal Content-Length fields, which the product's own interface accepted, are now refused on all.

--- a/core/forwarding/messages.h
+++ b/core/forwarding/messages.h
@@ -76,6 +76,8 @@
 struct call_result {
   /// Absent if the backend server sent a complete answer to this request.
   std::optional<base::error_kind> failure;
+  /// What is wrong with a malformed answer, for the log; empty if the kind of failure says it all.
+  std::string detail;
   base::executed_state executed = base::executed_state::kUnknown;
   int status = 0;
   /// Proof that the backend server itself made the answer; empty if there is none.
--- a/core/forwarding/requests.cc
+++ b/core/forwarding/requests.cc
@@ -73,6 +73,7 @@
                             {"executed", std::string(ToString(result.executed))},
                             {"status", std::to_string(result.status)},
                             {"elapsed_ms", std::to_string(base::ToMilliseconds(result.elapsed))}};
+  if (!result.detail.empty()) fields.emplace_back("detail", result.detail);
   if (kind == error_kind::kConnectionLost) {
     // The server may have crashed: these fields show whether requests of the same content lose calls repeatedly.
     fields.emplace_back("fingerprint", base::ToHex(ended.fingerprint.value));
--- a/shell/backend_client.cc
+++ b/shell/backend_client.cc
@@ -51,6 +51,8 @@
       return MakeFailure(call, error_kind::kAnswerTruncated, state);
     case transfer_outcome::kMalformed:
       return MakeFailure(call, error_kind::kAnswerMalformed, state);
+    case transfer_outcome::kMismatched:
+      return MakeFailure(call, error_kind::kAnswerMismatched, state);
     case transfer_outcome::kDeadlineExceeded:
       return MakeFailure(call, error_kind::kDeadlineExceeded, state);
     case transfer_outcome::kCancelled:
--- a/shell/http_grammar.h
+++ b/shell/http_grammar.h
@@ -2,7 +2,7 @@
 
 #include <string_view>
 
-#include "shell/http_request_parser.h"
+#include "shell/http_headers.h"
 
 namespace limpetrouter::shell {
 
--- a/shell/http_request_parser.h
+++ b/shell/http_request_parser.h
@@ -4,20 +4,12 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <utility>
-#include <vector>
 
-namespace limpetrouter::shell {
-
-/// Header fields in the order of the request, with their names spelled as sent.
-using http_headers = std::vector<std::pair<std::string, std::string>>;
+#include "shell/chunk_decoder.h"
+#include "shell/http_headers.h"
+#include "shell/message_framing.h"
 
-/// Returns the value of the first field `name`, or null if there is none. Field names are compared without case.
-const std::string* FindHeader(const http_headers& headers, std::string_view name);
-/// Returns the number of fields `name`, compared without case.
-std::size_t CountHeader(const http_headers& headers, std::string_view name);
-/// Compares without regard to the case of ASCII letters.
-bool EqualsIgnoringCase(std::string_view a, std::string_view b);
+namespace limpetrouter::shell {
 
 /// Limits of one request, in bytes. The body is measured without its transfer coding.
 struct request_limits {
@@ -46,10 +38,29 @@
   bool expects_continue = false;
 };
 
-/// Parses the request at the start of `input`. To prevent request smuggling, input that two HTTP parsers could
-/// interpret differently is refused: repeated Content-Length fields, Content-Length together with Transfer-Encoding,
-/// line ends without CR, folded header fields, and targets that are not a path. Chunked bodies are decoded; chunk
-/// extensions and trailers are dropped.
+/// Parses one request from input that arrives in pieces of any size. To prevent request smuggling, input that two HTTP
+/// parsers could interpret differently is refused: see `ReadRequestFraming`, line ends without CR, folded header
+/// fields, and targets that are not a path. Chunked bodies are decoded; chunk extensions and trailers are dropped.
+struct request_parser {
+  /// The body holds what has arrived of it, and the size counts the bytes taken.
+  parsed_request request;
+
+  /// Size of the header; 0 until it is complete.
+  std::size_t header_bytes = 0;
+  /// Bytes of the input that do not hold the end of the header.
+  std::size_t searched = 0;
+  message_framing framing;
+  chunk_decoder chunks;
+};
+
+/// Takes bytes of the request from the start of `input` and returns their number; the caller passes the rest again with
+/// further input behind it. The header is taken as a whole. Each byte is looked at a constant number of times.
+std::size_t TakeInput(request_parser& parser, std::string_view input, const request_limits& limits);
+
+/// Returns how many bytes of the request the parser holds.
+std::size_t HeldBytes(const request_parser& parser);
+
+/// Parses the request at the start of `input`.
 parsed_request ParseRequest(std::string_view input, const request_limits& limits);
 
 }  // namespace limpetrouter::shell
--- a/shell/socket_statistics.cc
+++ b/shell/socket_statistics.cc
@@ -9,26 +9,12 @@
 
 namespace limpetrouter::shell {
 
-namespace {
-
-/// Returns a counter of the socket, or nothing if the kernel does not tell.
-std::optional<std::uint64_t> ReadCounter(int socket, decltype(tcp_info::tcpi_bytes_received) tcp_info::*counter,
-                                         std::size_t offset) {
+std::optional<std::uint64_t> BytesAcknowledged(int socket) {
   tcp_info info{};
   socklen_t size = sizeof info;
   if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return std::nullopt;
-  if (size < offset + sizeof(info.*counter)) return std::nullopt;
-  return info.*counter;
-}
-
-}  // namespace
-
-std::optional<std::uint64_t> BytesReceived(int socket) {
-  return ReadCounter(socket, &tcp_info::tcpi_bytes_received, offsetof(tcp_info, tcpi_bytes_received));
-}
-
-std::optional<std::uint64_t> BytesAcknowledged(int socket) {
-  return ReadCounter(socket, &tcp_info::tcpi_bytes_acked, offsetof(tcp_info, tcpi_bytes_acked));
+  if (size < offsetof(tcp_info, tcpi_bytes_acked) + sizeof info.tcpi_bytes_acked) return std::nullopt;
+  return info.tcpi_bytes_acked;
 }
 
 }  // namespace limpetrouter::shell
--- a/shell/socket_statistics.h
+++ b/shell/socket_statistics.h
@@ -5,9 +5,7 @@
 
 namespace limpetrouter::shell {
 
-/// Number of bytes that a TCP socket has received since it was opened, or nothing if the kernel does not tell.
-std::optional<std::uint64_t> BytesReceived(int socket);
-/// Number of sent bytes that the peer has acknowledged, or nothing if the kernel does not tell.
+/// Number of bytes that the peer of a TCP socket has acknowledged, or nothing if the kernel does not tell.
 std::optional<std::uint64_t> BytesAcknowledged(int socket);
 
 }  // namespace limpetrouter::shell
--- a/shell/transfer.cc
+++ b/shell/transfer.cc
@@ -1,9 +1,11 @@
 #include "shell/transfer.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <cstring>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include <fmt/format.h>
 #include <netinet/in.h>
@@ -11,7 +13,6 @@
 #include <sys/socket.h>
 
 #include "shell/http_grammar.h"
-#include "shell/socket_statistics.h"
 
 namespace limpetrouter::shell {
 namespace {
@@ -30,6 +31,8 @@
 constexpr int kKeepAliveProbes = 2;
 constexpr unsigned kUserTimeoutMs = 3'000;
 
+constexpr char kBuffersFull[] = "the answers in progress exceed their limit together";
+
 /// Adds received bytes of the transfer. Returns false if the limit of all answers does not allow them.
 bool AddBuffered(transfer& t, std::size_t bytes) {
   answer_buffers& buffers = *t.buffers;
@@ -40,49 +43,99 @@
   return true;
 }
 
+/// Ends a transfer whose answer is malformed. libcurl closes the connection if a callback takes fewer bytes than it
+/// got.
+std::size_t EndAsMalformed(transfer& t, std::string reason) {
+  t.answer_malformed = true;
+  t.result.detail = std::move(reason);
+  return 0;
+}
+
 std::size_t OnBody(char* data, std::size_t size, std::size_t count, void* pointer) {
   auto& t = *static_cast<transfer*>(pointer);
   const std::size_t bytes = size * count;
-  if (t.result.body.size() + bytes > t.request.max_answer_bytes || !AddBuffered(t, bytes)) {
-    t.answer_malformed = true;
-    return 0;
+  const std::string_view received(data, bytes);
+  std::string decoded;
+  if (t.framing.end == body_end::kLastChunk) {
+    // Bytes behind the last chunk belong to no request.
+    const std::size_t trailer_before = t.chunks.trailer_bytes;
+    DecodeChunks(t.chunks, received, decoded);
+    const std::size_t trailer = t.chunks.trailer_bytes - trailer_before;
+    if (!AddBuffered(t, trailer)) return EndAsMalformed(t, kBuffersFull);
+    t.header_bytes += trailer;
+    const chunk_state state = t.chunks.state;
+    if (state != chunk_state::kIncomplete && state != chunk_state::kComplete) return EndAsMalformed(t, t.chunks.detail);
+  } else if (t.framing.end == body_end::kNone) {
+    return EndAsMalformed(t, "the answer has a body where its status or request allows none");
   }
-  t.result.body.append(data, bytes);
+  const std::string_view body = t.framing.end == body_end::kLastChunk ? decoded : received;
+  if (t.result.body.size() + body.size() > t.request.max_answer_bytes)
+    return EndAsMalformed(t, fmt::format("the body exceeds {} bytes", t.request.max_answer_bytes));
+  if (!AddBuffered(t, body.size())) return EndAsMalformed(t, kBuffersFull);
+  t.result.body.append(body);
   return bytes;
 }
 
+/// Reads a status line. Returns false if it is none, or if it belongs to no answer, as in a trailer.
+bool ReadStatusLine(transfer& t, std::string_view line) {
+  /// Positions in a status line.
+  constexpr std::size_t kMinorVersion = 7;
+  constexpr std::size_t kStatusCode = 9;
+  constexpr std::size_t kStatusDigits = 3;
+  // The header of a final answer follows that of an interim one.
+  if ((t.header_complete && !t.header_interim) || !IsStatusLine(line)) return false;
+  t.start.status = std::atoi(std::string(line.substr(kStatusCode, kStatusDigits)).c_str());
+  t.start.is_http_1_0 = line[kMinorVersion] == '0';
+  t.start.answers_head_request = t.request.method == "HEAD";
+  t.header_interim = line[kStatusCode] == '1';
+  t.header_complete = false;
+  t.result.headers.clear();
+  return true;
+}
+
+/// Handles the empty line behind a header. Returns false if the answer can't be used.
+bool EndHeader(transfer& t) {
+  t.header_complete = true;
+  if (t.header_interim) return true;
+  const framing_result framing = ReadAnswerFraming(t.start, t.result.headers);
+  if (!framing.has_value()) {
+    EndAsMalformed(t, framing.error());
+    return false;
+  }
+  t.framing = *framing;
+  t.chunks.limits = {t.request.max_answer_bytes, t.buffers->limits.max_header_bytes};
+  if (t.request.echoed_field.empty()) return true;
+  const std::string* const sent = FindHeader(t.request.headers, t.request.echoed_field);
+  const std::string* const echo = FindHeader(t.result.headers, t.request.echoed_field);
+  t.answer_mismatched = sent != nullptr && echo != nullptr && *sent != *echo;
+  if (t.answer_mismatched) t.result.detail = fmt::format("the answer belongs to request {}", *echo);
+  return !t.answer_mismatched;
+}
+
 /// Handles one line of an answer's header. libcurl checks little of it, so each line is checked here: what is passed on
 /// to a caller must be HTTP. The fields of an opaque request's final answer are collected. Each status line discards
 /// the fields of an interim answer before it, but these still count towards the limit, because interim answers may come
 /// without end.
 std::size_t OnHeader(char* data, std::size_t size, std::size_t count, void* pointer) {
-  /// Position of the status code in a status line.
-  constexpr std::size_t kStatusCode = 9;
   constexpr std::string_view kLineEnd = "\r\n";
   auto& t = *static_cast<transfer*>(pointer);
   const std::size_t bytes = size * count;
-  if (t.header_bytes + bytes > t.buffers->limits.max_header_bytes || !AddBuffered(t, bytes)) {
-    t.answer_malformed = true;
-    return 0;
-  }
+  const std::size_t limit = t.buffers->limits.max_header_bytes;
+  if (t.header_bytes + bytes > limit) return EndAsMalformed(t, fmt::format("the header exceeds {} bytes", limit));
+  if (!AddBuffered(t, bytes)) return EndAsMalformed(t, kBuffersFull);
   t.header_bytes += bytes;
   std::string_view line(data, bytes);
-  t.answer_malformed = !line.ends_with(kLineEnd);
-  if (t.answer_malformed) return 0;
+  if (!line.ends_with(kLineEnd)) return EndAsMalformed(t, "a header line does not end with CRLF");
   line.remove_suffix(kLineEnd.size());
   if (line.empty()) {
-    t.header_complete = true;
+    if (!EndHeader(t)) return 0;
+    if (t.request.method.empty()) t.result.headers.clear();
   } else if (line.starts_with("HTTP/")) {
-    // The header of a final answer follows that of an interim one. A status line in a trailer belongs to no answer.
-    t.answer_malformed = (t.header_complete && !t.header_interim) || !IsStatusLine(line);
-    t.header_interim = !t.answer_malformed && line[kStatusCode] == '1';
-    t.header_complete = false;
-    t.result.headers.clear();
-  } else {
-    t.answer_malformed = !ParseHeaderLine(line, t.result.headers);
+    if (!ReadStatusLine(t, line)) return EndAsMalformed(t, "a status line is malformed or belongs to no answer");
+  } else if (!ParseHeaderLine(line, t.result.headers)) {
+    return EndAsMalformed(t, "a header field is malformed");
   }
-  if (t.request.method.empty()) t.result.headers.clear();
-  return t.answer_malformed ? 0 : bytes;
+  return bytes;
 }
 
 int OnSocketCreated(void* /*pointer*/, curl_socket_t socket, curlsocktype /*purpose*/) {
@@ -95,27 +148,6 @@
   return CURL_SOCKOPT_OK;
 }
 
-/// libcurl calls this after each read. It skips chunk extensions itself, so that a server can send them without end,
-/// which keeps the thread of all transfers busy. Ends a transfer whose connection delivers far more than its answer.
-int OnProgress(void* pointer, curl_off_t /*expected*/, curl_off_t /*received*/, curl_off_t /*to_send*/,
-               curl_off_t /*sent*/) {
-  constexpr int kContinue = 0;
-  // Almost all answers end before this number of reads, so that their sockets are not asked.
-  constexpr std::uint32_t kFirstCheckedReport = 16;
-  constexpr std::uint64_t kMaxUnusedBytes = 256 * 1024;
-  // A chunk of one byte has a framing of five.
-  constexpr std::uint64_t kMaxFramingRatio = 8;
-  auto& t = *static_cast<transfer*>(pointer);
-  if (++t.progress_reports < kFirstCheckedReport || t.write_attempts == 0) return kContinue;
-  const std::optional<std::uint64_t> received = BytesReceived(t.socket);
-  if (!received.has_value()) return kContinue;
-  // The socket may have received earlier answers, so only the increase counts. A new connection starts at zero again.
-  if (!t.received_before.has_value() || *received < *t.received_before) t.received_before = *received;
-  const std::uint64_t used = kMaxFramingRatio * t.result.body.size() + t.header_bytes;
-  t.answer_malformed = *received - *t.received_before > used + kMaxUnusedBytes;
-  return t.answer_malformed ? 1 : kContinue;
-}
-
 std::string TimeLeftLine(const transfer& t) {
   const auto left = std::chrono::duration_cast<milliseconds>(t.request.deadline - steady_clock::now());
   return fmt::format("{}: {}", t.request.time_left_field, std::max<std::int64_t>(left.count(), 0));
@@ -187,6 +219,8 @@
       return "connection lost within the answer's body";
     case transfer_outcome::kMalformed:
       return "the answer is not HTTP or exceeds its size limit";
+    case transfer_outcome::kMismatched:
+      return "the answer belongs to another request";
     case transfer_outcome::kDeadlineExceeded:
       return "no answer before the deadline";
     case transfer_outcome::kCancelled:
@@ -215,9 +249,8 @@
   if (t.request.keep_alive_probes) curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &t);
-  curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
-  curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, &OnProgress);
-  curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &t);
+  // libcurl takes unreadable chunk sizes and extensions without end, so that chunks are decoded here.
+  curl_easy_setopt(handle, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &OnHeader);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, &t);
   curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &OnBeforeWrite);
@@ -235,7 +268,19 @@
   }
 }
 
+void CheckWholeBody(transfer& t) {
+  if (t.request.connect_only || !t.header_complete || t.answer_malformed) return;
+  const std::size_t size = t.result.body.size();
+  if (t.framing.end == body_end::kLength && size != t.framing.length) {
+    EndAsMalformed(t, fmt::format("the body has {} bytes instead of {}", size, t.framing.length));
+  } else if (t.framing.end == body_end::kLastChunk && t.chunks.state != chunk_state::kComplete) {
+    EndAsMalformed(t, "the chunked body has no end");
+  }
+}
+
 transfer_outcome OutcomeOf(const transfer& t, CURLcode code) {
+  if (t.answer_mismatched) return transfer_outcome::kMismatched;
+  if (t.answer_malformed) return transfer_outcome::kMalformed;
   switch (code) {
     case CURLE_OK:
       // libcurl takes a connection that closes within the header for the end of an answer without a body.
--- a/shell/transfer.h
+++ b/shell/transfer.h
@@ -3,11 +3,11 @@
 #include <atomic>
 #include <chrono>
 #include <cstddef>
-#include <cstdint>
-#include <optional>
 
 #include <curl/curl.h>
 
+#include "shell/chunk_decoder.h"
+#include "shell/message_framing.h"
 #include "shell/transfer_pool.h"
 
 namespace limpetrouter::shell {
@@ -34,18 +34,18 @@
   answer_buffers* buffers = nullptr;
   /// Bytes of the header so far, including interim answers and trailers.
   std::size_t header_bytes = 0;
-  /// The socket that libcurl waits for.
-  curl_socket_t socket = CURL_SOCKET_BAD;
-  /// Number of times that libcurl has reported progress.
-  std::uint32_t progress_reports = 0;
-  /// Bytes that the socket had received when they were first compared with those of the answer.
-  std::optional<std::uint64_t> received_before;
+  /// Status line of the header that arrived last.
+  answer_start start;
+  /// Framing of the final answer.
+  message_framing framing;
+  chunk_decoder chunks;
   /// True once the empty line after the final answer's header has arrived.
   bool header_complete = false;
   /// The header that arrived last belongs to an interim answer.
   bool header_interim = false;
-  /// The answer is not HTTP or exceeds a limit.
+  /// The answer is not HTTP or exceeds a limit. `result.detail` says why.
   bool answer_malformed = false;
+  bool answer_mismatched = false;
   bool deadline_passed = false;
 };
 
@@ -56,6 +56,9 @@
 /// and `post_headers` are the header fields of a JSON request.
 void SetOptions(transfer& t, std::chrono::milliseconds time_left, const curl_slist* post_headers);
 
+/// Compares the whole answer with its framing. What libcurl reads otherwise is malformed.
+void CheckWholeBody(transfer& t);
+
 /// Returns the outcome of an ended transfer for libcurl's result code.
 transfer_outcome OutcomeOf(const transfer& t, CURLcode code);
 
--- a/shell/transfer_pool.cc
+++ b/shell/transfer_pool.cc
@@ -77,15 +77,12 @@
     static_cast<void>(!::write(wake, &one, sizeof one));
   }
 
-  static int OnSocketChanged(CURL* easy, curl_socket_t socket, int action, void* pointer, void* registered) {
+  static int OnSocketChanged(CURL* /*easy*/, curl_socket_t socket, int action, void* pointer, void* registered) {
     const auto& pool = *static_cast<impl*>(pointer);
     if (action == CURL_POLL_REMOVE) {
       epoll_ctl(pool.epoll, EPOLL_CTL_DEL, socket, nullptr);
       return 0;
     }
-    transfer* owner = nullptr;
-    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &owner);
-    if (owner != nullptr) owner->socket = socket;
     epoll_event event{};
     event.data.fd = socket;
     if ((action & CURL_POLL_IN) != 0) event.events |= EPOLLIN;
@@ -210,8 +207,12 @@
       long connects = 0;
       curl_easy_getinfo(message->easy_handle, CURLINFO_NUM_CONNECTS, &connects);
       t->result.opened_connection = connects > 0;
-      EndTransfer(t->request.id,
-                  t->answer_malformed ? transfer_outcome::kMalformed : OutcomeOf(*t, message->data.result));
+      if (message->data.result == CURLE_OK) CheckWholeBody(*t);
+      const transfer_outcome outcome = OutcomeOf(*t, message->data.result);
+      // libcurl refuses some answers by itself.
+      if (outcome == transfer_outcome::kMalformed && t->result.detail.empty())
+        t->result.detail = curl_easy_strerror(message->data.result);
+      EndTransfer(t->request.id, outcome);
     }
   }
 
--- a/shell/transfer_pool.h
+++ b/shell/transfer_pool.h
@@ -9,7 +9,7 @@
 #include <string_view>
 
 #include "shell/answer_limits.h"
-#include "shell/http_request_parser.h"
+#include "shell/http_headers.h"
 
 namespace limpetrouter::shell {
 
@@ -25,6 +25,8 @@
   kTruncated,
   /// The answer is not HTTP or exceeds its size limit.
   kMalformed,
+  /// The answer belongs to another request.
+  kMismatched,
   kDeadlineExceeded,
   kCancelled,
 };
@@ -37,6 +39,8 @@
   /// False only if no byte of the request left this process.
   bool bytes_sent = false;
   int status = 0;
+  /// Why the answer is malformed or mismatched; empty otherwise.
+  std::string detail;
   std::string body;
   /// Header fields of the answer; filled for an opaque request only.
   http_headers headers;
@@ -66,6 +70,9 @@
   /// Its value is computed as the request is written, because a process that lacks CPU time may write the request long
   /// after it started the transfer.
   std::string time_left_field;
+  /// Name of a header field that an answer to this request repeats if it has the field. An answer with another value
+  /// belongs to an earlier request. It ends its connection, on which the next answers would be late as well.
+  std::string echoed_field;
   std::chrono::steady_clock::time_point deadline;
   std::size_t max_answer_bytes = 0;
   /// The request must not be written twice. libcurl writes a request again by itself when a reused connection turns out
