Keep the state of a request between reads

Cause: the reader kept no state. Each read decoded the body again from its start, on the thread that serves all callers. On the product's own interface the header was searched and read again after each read of the body. Ruled out: the decoder itself (with one pass an upload takes 0.1 to 0.3 s).

Change: a connection keeps its request_parser or request_framer, so that each byte is looked at a constant number of times. What a request holds so far counts for the limit of its connection.

The new tests count bytes and would fail with the former.

--- a/shell/http_connection.h
+++ b/shell/http_connection.h
@@ -17,6 +17,8 @@
 
 #include "core/base/strong_id.h"
 #include "shell/connection_limits.h"
+#include "shell/http_framing.h"
+#include "shell/http_request_parser.h"
 #include "shell/http_server.h"
 
 namespace limpetrouter::shell {
@@ -51,9 +53,12 @@
   std::shared_ptr<connection_limits> limits;
   account_ptr account = std::make_shared<connection_account>();
 
-  /// The next four members are used only by the thread that set `parsing`.
-  /// Received bytes that do not form a complete request yet.
+  /// The next six members are used only by the thread that set `parsing`.
+  /// Received bytes that the parser has not taken yet.
   std::string input;
+  /// The request at the start of the input: `parser` for an opaque server, `framer` for others.
+  request_parser parser;
+  request_framer framer;
   bool continue_sent = false;
   /// Whether further input is ignored.
   bool input_ended = false;
@@ -63,7 +68,7 @@
   std::mutex mutex;
   /// Bytes that were received and not added to `input` yet.
   std::string received;
-  /// Size of `input` when it was last parsed.
+  /// Bytes in `input` and `parser` when the input was last parsed.
   std::size_t input_bytes = 0;
   /// A thread takes requests from the input: the connection's thread, or the one that resumes paused connections.
   bool parsing = false;
--- a/shell/http_framing.cc
+++ b/shell/http_framing.cc
@@ -1,5 +1,6 @@
 #include "shell/http_framing.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
@@ -14,6 +15,10 @@
 
 request_frame MakeErrorFrame(request_state state, std::string detail) { return {state, 0, std::move(detail), false}; }
 
+request_frame MakeTooLargeFrame(std::size_t max_bytes) {
+  return MakeErrorFrame(request_state::kTooLarge, fmt::format("the request exceeds {} bytes", max_bytes));
+}
+
 /// Returns the fields of a header, whose form is left to Pistache's parser.
 http_headers ReadFields(std::string_view header) {
   http_headers fields;
@@ -37,29 +42,39 @@
   return text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
-request_frame FrameRequest(std::string_view input, std::size_t max_bytes) {
-  const std::string too_large = fmt::format("the request exceeds {} bytes", max_bytes);
-  const std::size_t end = input.substr(0, max_bytes).find(kHeaderEnd);
-  if (end == std::string_view::npos) {
-    if (input.size() >= max_bytes) return MakeErrorFrame(request_state::kTooLarge, too_large);
-    return {};
+request_frame FrameRequest(request_framer& framer, std::string_view input, std::size_t max_bytes) {
+  if (framer.size == 0) {
+    // The end of the header may have begun in the input that was searched before.
+    const std::size_t from = framer.searched - std::min(framer.searched, kHeaderEnd.size() - 1);
+    const std::string_view searchable = input.substr(0, max_bytes);
+    const std::size_t end = searchable.find(kHeaderEnd, from);
+    framer.examined += std::min(end, searchable.size()) - std::min(from, searchable.size());
+    framer.searched = searchable.size();
+    if (end == std::string_view::npos && input.size() < max_bytes) return {};
+    if (end == std::string_view::npos) return MakeTooLargeFrame(max_bytes);
+    framer.examined += end;
+    const http_headers fields = ReadFields(input.substr(0, end));
+    const framing_result framing = ReadRequestFraming(fields);
+    if (!framing.has_value()) return MakeErrorFrame(request_state::kMalformed, framing.error());
+    if (framing->end == body_end::kLastChunk)
+      return MakeErrorFrame(request_state::kMalformed, "Transfer-Encoding is not supported (allowed: Content-Length)");
+    const std::size_t header_bytes = end + kHeaderEnd.size();
+    if (framing->length > max_bytes || header_bytes + framing->length > max_bytes) return MakeTooLargeFrame(max_bytes);
+    framer.size = header_bytes + framing->length;
+    const std::string* const expectation = FindHeader(fields, "expect");
+    framer.expects_continue = expectation != nullptr && EqualsIgnoringCase(*expectation, "100-continue");
   }
-  const std::size_t header_bytes = end + kHeaderEnd.size();
-  const http_headers fields = ReadFields(input.substr(0, end));
-  const framing_result framing = ReadRequestFraming(fields);
-  if (!framing.has_value()) return MakeErrorFrame(request_state::kMalformed, framing.error());
-  if (framing->end == body_end::kLastChunk)
-    return MakeErrorFrame(request_state::kMalformed, "Transfer-Encoding is not supported (allowed: Content-Length)");
-  const std::size_t length = framing->length;
-  if (length > max_bytes || header_bytes + length > max_bytes)
-    return MakeErrorFrame(request_state::kTooLarge, too_large);
   request_frame frame;
-  const std::string* const expectation = FindHeader(fields, "expect");
-  frame.expects_continue = expectation != nullptr && EqualsIgnoringCase(*expectation, "100-continue");
-  if (input.size() < header_bytes + length) return frame;
+  frame.expects_continue = framer.expects_continue;
+  if (input.size() < framer.size) return frame;
   frame.state = request_state::kComplete;
-  frame.size = header_bytes + length;
+  frame.size = framer.size;
   return frame;
 }
 
+request_frame FrameRequest(std::string_view input, std::size_t max_bytes) {
+  request_framer framer;
+  return FrameRequest(framer, input, max_bytes);
+}
+
 }  // namespace limpetrouter::shell
--- a/shell/http_request_parser.cc
+++ b/shell/http_request_parser.cc
@@ -103,7 +103,9 @@
 std::size_t TakeHead(request_parser& parser, std::string_view input, const request_limits& limits) {
   // The end may have begun in the input that was searched before.
   const std::size_t from = parser.searched - std::min(parser.searched, kHeaderEnd.size() - 1);
-  const std::size_t end = input.substr(0, limits.max_header_bytes + kHeaderEnd.size()).find(kHeaderEnd, from);
+  const std::string_view searchable = input.substr(0, limits.max_header_bytes + kHeaderEnd.size());
+  const std::size_t end = searchable.find(kHeaderEnd, from);
+  parser.examined += std::min(end, searchable.size()) - std::min(from, searchable.size());
   if (end == std::string_view::npos) {
     parser.searched = input.size();
     if (input.size() > limits.max_header_bytes) {
@@ -112,6 +114,7 @@
     }
     return 0;
   }
+  parser.examined += end;
   if (!ReadHead(parser, input.substr(0, end), limits)) return 0;
   parser.header_bytes = end + kHeaderEnd.size();
   return parser.header_bytes;
@@ -158,7 +161,9 @@
     taken = TakeHead(parser, input, limits);
     if (taken == 0) return 0;
   }
-  taken += TakeBody(parser, input.substr(taken));
+  const std::size_t body_bytes = TakeBody(parser, input.substr(taken));
+  parser.examined += body_bytes;
+  taken += body_bytes;
   request.size += taken;
   return taken;
 }
--- a/shell/http_request_parser.h
+++ b/shell/http_request_parser.h
@@ -49,6 +49,8 @@
   std::size_t header_bytes = 0;
   /// Bytes of the input that do not hold the end of the header.
   std::size_t searched = 0;
+  /// Bytes that were looked at, some of them more than once.
+  std::size_t examined = 0;
   message_framing framing;
   chunk_decoder chunks;
 };
--- a/shell/http_request_reader.cc
+++ b/shell/http_request_reader.cc
@@ -118,7 +118,8 @@
   /// an unacceptable one.
   bool ConsumeRequest() {
     if (state_->opaque) return ConsumeOpaqueRequest();
-    const request_frame frame = FrameRequest(c_->input, state_->max_request_bytes);
+    const request_frame frame = FrameRequest(c_->framer, c_->input, state_->max_request_bytes);
+    if (frame.state != request_state::kIncomplete) c_->framer = {};
     switch (frame.state) {
       case request_state::kIncomplete:
         if (frame.expects_continue) SendContinue();
@@ -142,11 +143,13 @@
   /// Like `ConsumeRequest`, but for opaque servers: the target and the header fields are not decoded.
   bool ConsumeOpaqueRequest() {
     if (c_->input.empty() || IsClosing()) return false;
-    parsed_request parsed = ParseRequest(c_->input, {state_->max_header_bytes, state_->max_body_bytes});
+    c_->input.erase(0, TakeInput(c_->parser, c_->input, {state_->max_header_bytes, state_->max_body_bytes}));
+    if (c_->parser.request.state == parse_state::kIncomplete) {
+      if (c_->parser.request.expects_continue) SendContinue();
+      return false;
+    }
+    parsed_request parsed = std::exchange(c_->parser, {}).request;
     switch (parsed.state) {
-      case parse_state::kIncomplete:
-        if (parsed.expects_continue) SendContinue();
-        return false;
       case parse_state::kHeaderTooLarge:
         Refuse(MakeError(error_kind::kRequestTooLarge, kHeaderFieldsTooLarge, parsed.detail));
         return false;
@@ -156,10 +159,10 @@
       case parse_state::kMalformed:
         Refuse(MakeError(error_kind::kInvalidRequest, parsed.detail));
         return false;
+      case parse_state::kIncomplete:
       case parse_state::kComplete:
         break;
     }
-    c_->input.erase(0, parsed.size);
     c_->continue_sent = false;
     // Pistache measures the idle time from the last reset of its parser, which an opaque server does not use otherwise.
     pistache_http::Handler::getParser(peer_)->reset();
@@ -296,9 +299,10 @@
   if (c.input_ended || c.closing) {
     c.ignored_bytes += c.input.size();
     c.input.clear();
+    c.parser = {};
   }
   if (c.input.empty() && c.input.capacity() > kKeptInputBytes) c.input.shrink_to_fit();
-  c.input_bytes = c.input.size();
+  c.input_bytes = c.input.size() + HeldBytes(c.parser);
   UpdateAccount(c);
   // The parser limits the input while requests are taken.
   const std::size_t unused = c.ignored_bytes + (c.paused ? c.input_bytes + c.received.size() : 0);
--- a/tests/shell/http_request_parser_test.cc
+++ b/tests/shell/http_request_parser_test.cc
@@ -1,8 +1,12 @@
 #include "shell/http_request_parser.h"
 
+#include <algorithm>
+
+#include <fmt/format.h>
 #include <catch2/catch.hpp>
 
 #include "core/base/random.h"
+#include "shell/http_framing.h"
 
 namespace limpetrouter::shell {
 namespace {
@@ -97,6 +101,62 @@
   CHECK(closing.body == "ab");
 }
 
+/// Returns a chunked request with a body of `body_bytes` in chunks of `chunk_bytes`.
+std::string MakeChunkedRequest(std::size_t body_bytes, std::size_t chunk_bytes) {
+  std::string request = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t sent = 0; sent < body_bytes; sent += chunk_bytes) {
+    const std::size_t size = std::min(chunk_bytes, body_bytes - sent);
+    request += fmt::format("{:x}\r\n{}\r\n", size, std::string(size, 'b'));
+  }
+  return request + "0\r\n\r\n";
+}
+
+// Guards against a caller whose body in small pieces keeps the thread of all callers busy: it was decoded from its
+// start again after each read, so that the cost grew with the square of its size.
+TEST_CASE("the cost of a request grows with its bytes, however they are divided") {
+  const std::size_t chunk_bytes = GENERATE(std::size_t{1}, std::size_t{16}, std::size_t{4'096});
+  const std::size_t read_bytes = GENERATE(std::size_t{1}, std::size_t{4'096}, std::size_t{65'536});
+  const std::size_t body_bytes = GENERATE(std::size_t{1'024}, std::size_t{262'144});
+  INFO("chunks of " << chunk_bytes << ", reads of " << read_bytes << ", body of " << body_bytes);
+  const request_limits limits{16'384, 262'144};
+  const std::string request = MakeChunkedRequest(body_bytes, chunk_bytes);
+  request_parser parser;
+  std::string pending;
+  for (std::size_t read = 0; read < request.size(); read += read_bytes) {
+    pending += request.substr(read, read_bytes);
+    pending.erase(0, TakeInput(parser, pending, limits));
+  }
+  REQUIRE(parser.request.state == parse_state::kComplete);
+  CHECK(parser.request.body.size() == body_bytes);
+  CHECK(parser.request.size == request.size());
+  // The header is searched for its end and then read; the search looks back over the length of the end.
+  constexpr std::size_t kHeaderBytes = 60;
+  constexpr std::size_t kMostPerHeaderByte = 5;
+  CHECK(parser.examined <= request.size() + kMostPerHeaderByte * kHeaderBytes);
+}
+
+// Guards against the same cost of the product's own interface, whose header was read again after each read of the body.
+TEST_CASE("the cost of finding the end of a request grows with its header") {
+  const std::size_t read_bytes = GENERATE(std::size_t{1}, std::size_t{4'096}, std::size_t{65'536});
+  const std::size_t header_bytes = GENERATE(std::size_t{100}, std::size_t{10'000}, std::size_t{100'000});
+  const std::size_t body_bytes = GENERATE(std::size_t{0}, std::size_t{100'000});
+  INFO("reads of " << read_bytes << ", header of " << header_bytes << ", body of " << body_bytes);
+  const std::string request = "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body_bytes) +
+                              "\r\nX: " + std::string(header_bytes, 'x') + "\r\n\r\n" + std::string(body_bytes, 'b');
+  request_framer framer;
+  request_frame frame;
+  std::string input;
+  for (std::size_t read = 0; read < request.size(); read += read_bytes) {
+    REQUIRE(frame.state == request_state::kIncomplete);
+    input += request.substr(read, read_bytes);
+    frame = FrameRequest(framer, input, 1'000'000);
+  }
+  CHECK(frame.state == request_state::kComplete);
+  CHECK(frame.size == request.size());
+  constexpr std::size_t kMostPerHeaderByte = 5;
+  CHECK(framer.examined <= kMostPerHeaderByte * (request.size() - body_bytes));
+}
+
 // Guards against a crash, and against a request whose state depends on how the stream was split into reads.
 TEST_CASE("every prefix of a request is incomplete, and the parser survives random bytes") {
   const std::string complete = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
