Drop the framer's state together with the input that is ignored

After the last answer of a connection its further input is dropped. The state of the request that the input began with has to go with it, as that of the opaque parser does, so that the sizes that it holds are not compared with later input.

--- a/shell/http_request_reader.cc
+++ b/shell/http_request_reader.cc
@@ -300,6 +300,7 @@
     c.ignored_bytes += c.input.size();
     c.input.clear();
     c.parser = {};
+    c.framer = {};
   }
   if (c.input.empty() && c.input.capacity() > kKeptInputBytes) c.input.shrink_to_fit();
   c.input_bytes = c.input.size() + HeldBytes(c.parser);
