Read a header of the largest size alike however it is divided

Callers would see: a request whose header has the largest size allowed is accepted if its end arrives in one read, and refused with 431 if the end is divided.

Cause: without the end of the header, more input than the limit was refused at once, although the four bytes of the end do not count for the limit. Ruled out: the chunks behind the header.

Change: the header is refused once the input is longer than the limit and the end together.

--- a/shell/http_request_parser.cc
+++ b/shell/http_request_parser.cc
@@ -108,7 +108,8 @@
   parser.examined += std::min(end, searchable.size()) - std::min(from, searchable.size());
   if (end == std::string_view::npos) {
     parser.searched = input.size();
-    if (input.size() > limits.max_header_bytes) {
+    // The end of a header of the largest size may still be on its way.
+    if (searchable.size() == limits.max_header_bytes + kHeaderEnd.size()) {
       Fail(parser.request, parse_state::kHeaderTooLarge,
            fmt::format("the request header exceeds {} bytes", limits.max_header_bytes));
     }
--- a/tests/shell/http_request_parser_test.cc
+++ b/tests/shell/http_request_parser_test.cc
@@ -135,6 +135,23 @@
   CHECK(parser.examined <= request.size() + kMostPerHeaderByte * kHeaderBytes);
 }
 
+// Guards against a header at its limit that is accepted or refused depending on how its end is divided into reads.
+TEST_CASE("a header of the largest size is read alike in pieces of any size") {
+  const std::size_t excess = GENERATE(std::size_t{0}, std::size_t{1}, std::size_t{4});
+  const std::size_t read_bytes = GENERATE(std::size_t{1}, std::size_t{3}, std::size_t{1'000});
+  INFO(excess << " bytes above the limit, reads of " << read_bytes);
+  const std::string start = "GET /a HTTP/1.1\r\nHost: h\r\nX: ";
+  const std::string request = start + std::string(kLimits.max_header_bytes + excess - start.size(), 'x') + "\r\n\r\n";
+  request_parser parser;
+  std::string pending;
+  for (std::size_t read = 0; read < request.size() && parser.request.state == parse_state::kIncomplete;
+       read += read_bytes) {
+    pending += request.substr(read, read_bytes);
+    pending.erase(0, TakeInput(parser, pending, kLimits));
+  }
+  CHECK(parser.request.state == (excess == 0 ? parse_state::kComplete : parse_state::kHeaderTooLarge));
+}
+
 // Guards against the same cost of the product's own interface, whose header was read again after each read of the body.
 TEST_CASE("the cost of finding the end of a request grows with its header") {
   const std::size_t read_bytes = GENERATE(std::size_t{1}, std::size_t{4'096}, std::size_t{65'536});
