--- a/review/support3.py
+++ b/review/support3.py
@@ -63,6 +63,13 @@
             route.update(bounds.get(route["name"], {}))
         return await self.store.put("op/config", self.configuration)
 
+    def start_instance(self, ip):
+        # A line holds the path of its request, so that an attack would fill the disk.
+        log = os.path.join(self.directory, ip + ".log")
+        if not os.path.lexists(log):
+            os.symlink(os.devnull, log)
+        super().start_instance(ip)
+
 
 class Record:
     """Writes record.txt in the folder of the case, with the seconds since its start in front of each line."""
@@ -113,15 +120,20 @@
             fleet = ReviewFleet(os.path.dirname(program), directory, deployment, free_octet())
             try:
                 await fleet.start()
-                return await play(fleet, record)
+                return await asyncio.wait_for(play(fleet, record), 100)
             finally:
                 fleet.stop()
 
-    try:
-        code = asyncio.run(asyncio.wait_for(run(), 115))
-    except Exception as failure:  # Whatever prevents the case from running is no verdict about the rule.
-        traceback.print_exc()
-        record(f"the case could not run: {type(failure).__name__}: {failure}".replace(ROOT, "."))
-        code = NOT_RUN
-    record({HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN", NOT_RUN: "no verdict"}[code])
-    sys.exit(code)
+    async def run_to_verdict():
+        try:
+            code = await run()
+        except Exception as failure:  # Whatever prevents the case from running is no verdict about the rule.
+            traceback.print_exc()
+            record(f"the case could not run: {type(failure).__name__}: {failure}".replace(ROOT, "."))
+            code = NOT_RUN
+        record({HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN", NOT_RUN: "no verdict"}[code])
+        sys.stdout.flush()
+        # All processes have ended. The event loop would wait for the connections of the stand-ins.
+        os._exit(code)
+
+    asyncio.run(run_to_verdict())
